--- /dev/null
+++ b/src/bookkeeping/records.rs
@@ -0,0 +1,65 @@
+//! The records in the state service and the keys they lie under.
+//!
+//! `shard/N` says who holds a shard and ends with the holder's lease. `live/JOB` is an accepted
+//! job that has not ended, `end/JOB` one that has: a job moves from the one to the other in a
+//! single transaction, so that a reader that asks for `live` first and `end` second sees it.
+//! `machine/NAME` says which shard a machine belongs to.
+
+use crate::model::{Final, JobId, JobSpec, MachineId, Name, NodeLabel, ShardId};
+use serde::{Deserialize, Serialize};
+
+pub const SHARDS: &str = "shard/";
+pub const LIVE: &str = "live/";
+pub const MACHINES: &str = "machine/";
+
+pub fn shard_key(shard: ShardId) -> String {
+    format!("{SHARDS}{shard}")
+}
+
+pub fn live_key(job: &JobId) -> String {
+    format!("{LIVE}{job}")
+}
+
+pub fn end_key(job: &JobId) -> String {
+    format!("end/{job}")
+}
+
+pub fn machine_key(machine: &MachineId) -> String {
+    format!("{MACHINES}{machine}")
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ShardRecord {
+    pub node: NodeLabel,
+    /// Tells one life of a process from the next, since labels stay the same.
+    pub life: u64,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LiveRecord {
+    pub shard: ShardId,
+    pub job: JobSpec,
+    /// When it was accepted, by the time of day, in milliseconds.
+    pub accepted_ms: u64,
+    /// The tasks that have completed.
+    #[serde(default)]
+    pub done: String,
+    /// No task from this number on was ever started.
+    #[serde(default)]
+    pub untouched: u32,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct EndRecord {
+    pub state: Final,
+    pub done: u32,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct MachineRecord {
+    pub shard: ShardId,
+    pub kind: Name,
+    pub zone: Name,
+    pub spot: bool,
+    pub addr: String,
+}
--- /dev/null
+++ b/src/config.rs
@@ -0,0 +1,355 @@
+//! The platform's settings file and the operators' own properties, both checked at start.
+
+use crate::model::{Amount, Name, NodeIx, NodeLabel};
+use crate::time::Span;
+use serde::Deserialize;
+use std::collections::BTreeMap;
+use std::fmt;
+use std::net::SocketAddrV4;
+use std::path::Path;
+
+/// Why the program cannot start, in one line.
+#[derive(Debug)]
+pub struct ConfigError(pub String);
+
+impl fmt::Display for ConfigError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl std::error::Error for ConfigError {}
+
+#[derive(Deserialize)]
+struct File {
+    label: String,
+    area: String,
+    front: SocketAddrV4,
+    peer_bind: SocketAddrV4,
+    #[serde(default)]
+    peers: Vec<PeerEntry>,
+    services: Services,
+    facts: Facts,
+}
+
+#[derive(Deserialize)]
+struct PeerEntry {
+    label: String,
+    peer_addr: SocketAddrV4,
+}
+
+#[derive(Deserialize)]
+struct Services {
+    cloud: SocketAddrV4,
+    state: SocketAddrV4,
+}
+
+#[derive(Deserialize)]
+struct Facts {
+    size: u32,
+    #[serde(default)]
+    teams: Vec<TeamEntry>,
+    #[serde(default)]
+    objectives: Vec<ObjectiveEntry>,
+    workers: Workers,
+    state: State,
+    cloud: Cloud,
+    machine_limits: Limits,
+}
+
+#[derive(Deserialize)]
+struct TeamEntry {
+    name: String,
+    #[serde(default)]
+    cpus: f64,
+    #[serde(default)]
+    cpus_max: f64,
+    #[serde(default)]
+    gpus: f64,
+    #[serde(default)]
+    gpus_max: f64,
+}
+
+#[derive(Deserialize)]
+struct ObjectiveEntry {
+    kind: String,
+    #[serde(default)]
+    class: Option<String>,
+    #[serde(default)]
+    within_s: Option<f64>,
+}
+
+#[derive(Deserialize)]
+struct Workers {
+    report_s: f64,
+    lease_s: f64,
+    cancel_s: f64,
+}
+
+#[derive(Deserialize)]
+struct State {
+    rps: f64,
+    write_rps: f64,
+    value_kb: f64,
+    txn_ops: u32,
+}
+
+#[derive(Deserialize)]
+struct Cloud {
+    rps: f64,
+    list_lag_s: f64,
+}
+
+#[derive(Deserialize)]
+struct Limits {
+    max_sockets: u32,
+}
+
+/// What a team is guaranteed and what it may use at most; none where nothing is set.
+#[derive(Clone, Debug, Default)]
+pub struct TeamLimits {
+    pub cpus: Amount,
+    pub gpus: Amount,
+    pub cpus_max: Option<Amount>,
+    pub gpus_max: Option<Amount>,
+}
+
+impl TeamLimits {
+    pub fn is_limited(&self) -> bool {
+        self.cpus_max.is_some() || self.gpus_max.is_some()
+    }
+}
+
+/// Everything the program acts on.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    pub label: NodeLabel,
+    pub zone: Name,
+    pub front: SocketAddrV4,
+    pub peer_bind: SocketAddrV4,
+    /// All controllers in the order of their labels, this one included.
+    pub nodes: Vec<NodeLabel>,
+    pub me: NodeIx,
+    pub peers: Vec<(NodeLabel, SocketAddrV4)>,
+    pub cloud_addr: SocketAddrV4,
+    pub state_addr: SocketAddrV4,
+    pub shards: u32,
+    pub teams: BTreeMap<Name, TeamLimits>,
+    /// The longest time within which a class's jobs should finish.
+    pub finish_within: BTreeMap<Name, Span>,
+    /// The time within which a class's tasks should start.
+    pub start_within: BTreeMap<Name, Span>,
+    pub report: Span,
+    pub lease: Span,
+    pub cancel: Span,
+    pub state_rps: f64,
+    pub state_writes: f64,
+    pub value_bytes: usize,
+    pub txn_ops: usize,
+    pub cloud_rps: f64,
+    pub list_lag: Span,
+    pub max_sockets: usize,
+    pub own: Properties,
+}
+
+/// The operators' own settings, with their defaults.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Properties {
+    /// How long a controller's claim lives without a renewal.
+    pub claim_life: Span,
+    /// How often the shards' holders are read.
+    pub claim_watch: Span,
+    /// How long an idle machine is kept before it is given back.
+    pub give_back: Span,
+    /// How many times the fleet that fits exactly is aimed at.
+    pub headroom: f64,
+    /// How long a task may be skipped before it reserves the next machine with room.
+    pub skip_limit: Span,
+    /// How often jobs' progress is recorded.
+    pub round: Span,
+    /// How many of the newest ended jobs are kept in memory.
+    pub ended_kept: usize,
+}
+
+impl Properties {
+    fn defaults(lease: Span) -> Properties {
+        Properties {
+            claim_life: lease.times(0.4),
+            claim_watch: Span::millis(400),
+            give_back: Span::millis(30_000),
+            headroom: 1.25,
+            skip_limit: Span::millis(60_000),
+            round: Span::millis(1000),
+            ended_kept: 2000,
+        }
+    }
+
+    fn set(&mut self, key: &str, value: &str) -> Result<(), ConfigError> {
+        let bad = |want: &str| ConfigError(format!("property {key}: \"{value}\" is not {want}"));
+        let ms = |low: u64, high: u64| {
+            let want = format!("a whole number of milliseconds from {low} to {high}");
+            match value.parse::<u64>() {
+                Ok(n) if (low..=high).contains(&n) => Ok(Span::millis(n)),
+                _ => Err(bad(&want)),
+            }
+        };
+        match key {
+            "claim.life.ms" => self.claim_life = ms(1000, 60_000)?,
+            "claim.watch.ms" => self.claim_watch = ms(100, 10_000)?,
+            "fleet.give-back.ms" => self.give_back = ms(0, 3_600_000)?,
+            "fleet.headroom" => match value.parse::<f64>() {
+                Ok(n) if (1.0..=10.0).contains(&n) => self.headroom = n,
+                _ => return Err(bad("a number from 1 to 10")),
+            },
+            "queue.skip-limit.ms" => self.skip_limit = ms(1000, 3_600_000)?,
+            "records.round.ms" => self.round = ms(100, 60_000)?,
+            "records.ended-kept" => match value.parse::<usize>() {
+                Ok(n) if n <= 1_000_000 => self.ended_kept = n,
+                _ => return Err(bad("a whole number up to 1000000")),
+            },
+            _ => return Err(ConfigError(format!("property {key}: no such property"))),
+        }
+        Ok(())
+    }
+}
+
+impl Settings {
+    /// Reads both files; the properties may be absent.
+    pub fn load(path: &Path, properties: Option<&Path>) -> Result<Settings, ConfigError> {
+        let read = |path: &Path| {
+            std::fs::read_to_string(path)
+                .map_err(|error| ConfigError(format!("{}: {error}", path.display())))
+        };
+        let own = properties.map(read).transpose()?;
+        Settings::parse(&read(path)?, own.as_deref())
+            .map_err(|error| ConfigError(format!("{}: {}", path.display(), error.0)))
+    }
+
+    pub fn parse(text: &str, properties: Option<&str>) -> Result<Settings, ConfigError> {
+        let file: File = toml::from_str(text).map_err(|error| {
+            let line = error.span().map_or(1, |span| text[..span.start].matches('\n').count() + 1);
+            ConfigError(format!("line {line}: {}", error.message().replace('\n', " ")))
+        })?;
+        let positive = |name: &str, value: f64| {
+            if value.is_finite() && value > 0.0 {
+                Ok(value)
+            } else {
+                Err(ConfigError(format!("{name}: {value} is not a positive number")))
+            }
+        };
+        let facts = &file.facts;
+        for (name, value) in [
+            ("facts.workers.report_s", facts.workers.report_s),
+            ("facts.workers.lease_s", facts.workers.lease_s),
+            ("facts.workers.cancel_s", facts.workers.cancel_s),
+            ("facts.state.rps", facts.state.rps),
+            ("facts.state.write_rps", facts.state.write_rps),
+            ("facts.state.value_kb", facts.state.value_kb),
+            ("facts.cloud.rps", facts.cloud.rps),
+        ] {
+            positive(name, value)?;
+        }
+        if !(facts.cloud.list_lag_s.is_finite() && facts.cloud.list_lag_s >= 0.0) {
+            return Err(ConfigError("facts.cloud.list_lag_s: not a number from 0 on".into()));
+        }
+        if facts.state.txn_ops < 2 {
+            return Err(ConfigError("facts.state.txn_ops: at least 2 are needed".into()));
+        }
+        if facts.size == 0 || facts.size > 1000 {
+            return Err(ConfigError("facts.size: not a number from 1 to 1000".into()));
+        }
+        if facts.machine_limits.max_sockets < 32 {
+            return Err(ConfigError("facts.machine_limits.max_sockets: less than 32".into()));
+        }
+        let mut nodes: Vec<NodeLabel> =
+            file.peers.iter().map(|peer| NodeLabel::new(&peer.label)).collect();
+        let label = NodeLabel::new(&file.label);
+        nodes.push(label.clone());
+        nodes.sort();
+        if nodes.windows(2).any(|pair| pair[0] == pair[1]) {
+            return Err(ConfigError("peers: a label stands there twice".into()));
+        }
+        let me = NodeIx(nodes.iter().position(|node| *node == label).unwrap_or(0) as u32);
+        let mut teams = BTreeMap::new();
+        for team in &facts.teams {
+            for (field, value) in [
+                ("cpus", team.cpus),
+                ("cpus_max", team.cpus_max),
+                ("gpus", team.gpus),
+                ("gpus_max", team.gpus_max),
+            ] {
+                if !(value.is_finite() && value >= 0.0) {
+                    return Err(ConfigError(format!(
+                        "facts.teams.{field}: {value} is not a number from 0 on"
+                    )));
+                }
+            }
+            let cap = |value: f64| (value > 0.0).then(|| Amount::new(value));
+            teams.insert(
+                Name::new(&team.name),
+                TeamLimits {
+                    cpus: Amount::new(team.cpus),
+                    gpus: Amount::new(team.gpus),
+                    cpus_max: cap(team.cpus_max),
+                    gpus_max: cap(team.gpus_max),
+                },
+            );
+        }
+        let mut finish_within: BTreeMap<Name, Span> = BTreeMap::new();
+        let mut start_within: BTreeMap<Name, Span> = BTreeMap::new();
+        for aim in &facts.objectives {
+            if let (Some(class), Some(within)) = (&aim.class, aim.within_s) {
+                let table = match aim.kind.as_str() {
+                    "finished" => &mut finish_within,
+                    "wait" => &mut start_within,
+                    _ => continue,
+                };
+                // Of several aims for a class the strictest counts.
+                let entry = table.entry(Name::new(class)).or_insert(Span::secs(within));
+                *entry = (*entry).min(Span::secs(within));
+            }
+        }
+        let lease = Span::secs(facts.workers.lease_s);
+        let cancel = Span::secs(facts.workers.cancel_s);
+        let mut own = Properties::defaults(lease);
+        if let Some(text) = properties {
+            let table = java_properties::read(text.as_bytes())
+                .map_err(|error| ConfigError(format!("properties: {error}")))?;
+            let mut sorted: Vec<_> = table.into_iter().collect();
+            sorted.sort();
+            for (key, value) in sorted {
+                own.set(&key, value.trim())?;
+            }
+        }
+        Ok(Settings {
+            label,
+            zone: Name::new(&file.area),
+            front: file.front,
+            peer_bind: file.peer_bind,
+            nodes,
+            me,
+            peers: file
+                .peers
+                .iter()
+                .map(|peer| (NodeLabel::new(&peer.label), peer.peer_addr))
+                .collect(),
+            cloud_addr: file.services.cloud,
+            state_addr: file.services.state,
+            shards: facts.size,
+            teams,
+            finish_within,
+            start_within,
+            report: Span::secs(facts.workers.report_s),
+            lease,
+            cancel,
+            state_rps: facts.state.rps,
+            state_writes: facts.state.write_rps,
+            value_bytes: (facts.state.value_kb * 1024.0) as usize,
+            txn_ops: facts.state.txn_ops as usize,
+            cloud_rps: facts.cloud.rps,
+            list_lag: Span::secs(facts.cloud.list_lag_s),
+            max_sockets: facts.machine_limits.max_sockets as usize,
+            own,
+        })
+    }
+}
--- /dev/null
+++ b/src/coordination/binding.rs
@@ -0,0 +1,193 @@
+//! Late binding: when a worker reports room, the first tasks from the queue's front that fit go
+//! to it. Nothing is bound before.
+
+use super::shard::{Attempt, Job, Machine, Shard};
+use crate::config::Settings;
+use crate::model::*;
+use crate::protocol::workers::Command;
+use crate::time::{Span, Time};
+use std::collections::HashMap;
+
+/// How long a machine on which a job's task failed gets no other task of that job.
+const AVOID: Span = Span::millis(90_000);
+
+/// What binding needs to know besides the shard.
+pub(super) struct Market<'a> {
+    pub cfg: &'a Settings,
+    pub types: &'a HashMap<Name, MachineType>,
+    pub now: Time,
+}
+
+impl Job {
+    /// The next task that may be started, if any may be.
+    pub fn next_task(&self, now: Time) -> Option<u32> {
+        let task = self.pending.first().filter(|task| *task < self.untouched)?;
+        (self.is_live() && now >= self.rest_until).then_some(task)
+    }
+
+    /// Whether the job's own words allow the machine; room and the other tasks aside.
+    pub fn allows(&self, kind: &Name, zone: &Name, spot: bool) -> bool {
+        self.spec.allows_type(kind) && self.spec.allows_zone(zone) && (self.spec.spot || !spot)
+    }
+
+    pub fn avoids(&self, machine: &MachineId, now: Time) -> bool {
+        self.failed_on.iter().any(|(id, at)| id == machine && now.since(*at) < AVOID)
+    }
+}
+
+impl Shard {
+    /// Whether the job's other tasks leave room for one more in the zone. Tasks that have not
+    /// been found may be anywhere, so while there are any they count against every zone.
+    pub fn zone_allows(&self, job: &Job, zone: &Name) -> bool {
+        if !job.spec.one_zone && !job.spec.spread {
+            return true;
+        }
+        let hidden = job.unlocated.len();
+        // Also attempts that are being stopped are on their machines still.
+        let mut here = 0;
+        let mut elsewhere = 0;
+        for machine in self.machines.values() {
+            let count = machine
+                .attempts
+                .values()
+                .filter(|attempt| !attempt.is_over() && attempt.task.job == job.spec.id)
+                .count() as u32;
+            match machine.zone == *zone {
+                true => here += count,
+                false => elsewhere += count,
+            }
+        }
+        (!job.spec.one_zone || (elsewhere == 0 && hidden == 0)) && here + hidden < job.spec.zone_cap()
+    }
+
+    /// Whether the team's limit leaves room for one more such task.
+    pub fn quota_allows(&self, job: &Job, usage: &Resources, cfg: &Settings) -> bool {
+        let Some(limits) = cfg.teams.get(&job.spec.team) else { return false };
+        let after = usage.plus(&job.spec.needs);
+        limits.cpus_max.is_none_or(|most| after.cpus <= most)
+            && limits.gpus_max.is_none_or(|most| after.gpus <= most)
+    }
+
+    /// The jobs with something to start, from the queue's front.
+    pub fn queue(&self, market: &Market) -> Vec<(bool, JobId)> {
+        let mut usage: HashMap<&Name, Resources> = HashMap::new();
+        let mut line: Vec<_> = self
+            .jobs
+            .values()
+            .filter(|job| job.next_task(market.now).is_some())
+            .map(|job| {
+                let used = usage
+                    .entry(&job.spec.team)
+                    .or_insert_with(|| self.team_usage(&job.spec.team, market.types));
+                let within = market.cfg.teams.get(&job.spec.team).is_some_and(|limits| {
+                    let after = used.plus(&job.spec.needs);
+                    after.cpus <= limits.cpus && after.gpus <= limits.gpus.max(Amount(0))
+                });
+                (job.spec.priority, !within, &job.order)
+            })
+            .collect();
+        line.sort();
+        line.into_iter().map(|(_, over, (_, id))| (!over, id.clone())).collect()
+    }
+
+    /// Binds what fits on a machine that has just reported.
+    pub fn bind(&mut self, id: &MachineId, counter: &mut u64, most: usize, market: &Market) -> Vec<Command> {
+        let mut commands = Vec::new();
+        let now = market.now;
+        let Some(machine) = self.machines.get(id) else { return commands };
+        let Some(kind) = market.types.get(&machine.kind) else { return commands };
+        if !machine.may_bind(now) {
+            return commands;
+        }
+        let mut room = kind.room.minus(&machine.used());
+        if room.cpus == Amount(0) {
+            return commands;
+        }
+        let (zone, spot, sent_in) = (machine.zone.clone(), machine.spot, machine.last);
+        let mut passed_over: Vec<JobId> = Vec::new();
+        for (_, job_id) in self.queue(market) {
+            loop {
+                let Some(job) = self.jobs.get(&job_id) else { break };
+                let Some(task) = job.next_task(now).filter(|_| commands.len() < most) else { break };
+                if !job.allows(&kind.name, &zone, spot) || job.avoids(id, now) {
+                    break;
+                }
+                if !job.spec.needs.fits_in(&room) {
+                    if job.spec.needs.fits_in(&kind.room) {
+                        let since = job.skipped_since;
+                        if since.is_some_and(|since| now.since(since) > market.cfg.own.skip_limit) {
+                            // Passed over for too long: this machine is kept until it has room.
+                            return commands;
+                        }
+                        passed_over.push(job_id.clone());
+                    }
+                    break;
+                }
+                let usage = self.team_usage(&job.spec.team, market.types);
+                if !self.quota_allows(job, &usage, market.cfg) || !self.zone_allows(job, &zone) {
+                    break;
+                }
+                *counter += 1;
+                let no = attempt_no(self.claim, *counter);
+                let task = TaskId { job: job_id.clone(), task: TaskIx(task) };
+                room = room.minus(&job.spec.needs);
+                let (image, image_gb) = (job.spec.image.clone(), job.spec.image_gb);
+                let attempt = Attempt {
+                    task: task.clone(),
+                    team: job.spec.team.clone(),
+                    needs: job.spec.needs,
+                    state: None,
+                    sent_in,
+                    sent: now,
+                    running_since: None,
+                    stop: None,
+                };
+                self.place(id, no, attempt);
+                if let Some(machine) = self.machines.get_mut(id) {
+                    machine.note_image(&image, image_gb, kind.cache_gb);
+                }
+                if let Some(job) = self.jobs.get_mut(&job_id) {
+                    job.skipped_since = None;
+                }
+                for earlier in passed_over.drain(..) {
+                    if let Some(job) = self.jobs.get_mut(&earlier) {
+                        job.skipped_since.get_or_insert(now);
+                    }
+                }
+                commands.push(Command::Run { task, attempt: no });
+            }
+        }
+        commands
+    }
+}
+
+/// A number that no attempt of any other claim has: it leads with the claim's revision.
+fn attempt_no(claim: Revision, counter: u64) -> AttemptNo {
+    AttemptNo((claim.0 << 24) | (counter & 0xff_ffff))
+}
+
+impl Machine {
+    /// Stops and forgets that are due, whatever else is.
+    pub fn tidy(&self, jobs: &HashMap<JobId, Job>, commands: &mut Vec<Command>, most: usize) {
+        for (no, attempt) in &self.attempts {
+            if commands.len() >= most {
+                return;
+            }
+            let task = attempt.task.clone();
+            if attempt.is_over() {
+                // A result may only be forgotten once the record has it.
+                let kept = jobs.get(&task.job).is_some_and(|job| {
+                    job.done.contains(task.task.0) && !job.recorded.contains(task.task.0)
+                });
+                if !kept {
+                    commands.push(Command::Forget { task, attempt: *no });
+                }
+            } else if let Some(grace) = attempt.stop {
+                let saving = attempt.state == Some(crate::protocol::workers::TaskState::Saving);
+                if !(saving && grace > 0.0) {
+                    commands.push(Command::Stop { task, attempt: *no, grace_s: grace });
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/fleet.rs
@@ -0,0 +1,629 @@
+//! The fleet: pending plus running work over a per-machine target, rented where it is cheapest
+//! and to be had, and given back when there is no work for it.
+
+use super::shard::{Booting, Shard};
+use super::*;
+use crate::bookkeeping::records;
+use crate::protocol::cloud::{Listed, MOST_DELETED, MOST_RENTED, MachineState};
+use crate::protocol::peers::MachineWish;
+use crate::protocol::state::Change;
+
+const CATALOG_AGE: Span = Span::millis(60_000);
+const LIST_PAUSE: Span = Span::millis(5_000);
+const PLAN_PAUSE: Span = Span::millis(1_000);
+/// How long a refused kind of machine is not asked for again; doubled with each refusal.
+const REFUSED: Span = Span::millis(6_000);
+/// How long after its lease a silent machine that the cloud no longer lists is forgotten.
+const GONE: Span = Span::millis(10_000);
+
+/// A rental request that has no final answer yet.
+pub(super) struct Rental {
+    pub kind: Name,
+    pub zone: Name,
+    pub spot: bool,
+    pub count: u32,
+    pub asked: Time,
+    pub in_flight: bool,
+}
+
+pub(super) struct Cloud {
+    pub catalog: Option<Vec<MachineType>>,
+    pub types: HashMap<Name, MachineType>,
+    catalog_at: Time,
+    catalog_call: bool,
+    pub listed: HashMap<MachineId, Listed>,
+    listed_at: Time,
+    list_call: bool,
+    /// How many lists in a row a machine was missing from.
+    budget: Budget,
+    refused: HashMap<(Name, Name, bool), (Time, u32)>,
+    planned_at: Time,
+    purging: bool,
+}
+
+impl Cloud {
+    pub fn new(cfg: &Settings) -> Cloud {
+        let share = cfg.cloud_rps / cfg.nodes.len() as f64;
+        Cloud {
+            catalog: None,
+            types: HashMap::new(),
+            catalog_at: Time::ZERO,
+            catalog_call: false,
+            listed: HashMap::new(),
+            listed_at: Time::ZERO,
+            list_call: false,
+            budget: Budget::new(share, 2.0 * share),
+            refused: HashMap::new(),
+            planned_at: Time::ZERO,
+            purging: false,
+        }
+    }
+
+    fn is_refused(&self, kind: &Name, zone: &Name, spot: bool, now: Time) -> bool {
+        self.refused.get(&(kind.clone(), zone.clone(), spot)).is_some_and(|(until, _)| now < *until)
+    }
+
+    fn refuse(&mut self, rental: &Rental, now: Time) {
+        let key = (rental.kind.clone(), rental.zone.clone(), rental.spot);
+        let times = self.refused.get(&key).map_or(0, |(_, times)| *times);
+        let pause = REFUSED.times(f64::from(1u32 << times.min(3)));
+        self.refused.insert(key, (now + pause, times + 1));
+    }
+}
+
+/// A machine as the count sees it: there, booting or still to come.
+struct Bin {
+    id: Option<MachineId>,
+    kind: Name,
+    zone: Name,
+    spot: bool,
+    room: Resources,
+    used: bool,
+}
+
+/// What one job needs room for.
+struct Demand {
+    spec: JobSpec,
+    count: u32,
+}
+
+impl Controller {
+    pub(super) fn fleet_tick(&mut self) {
+        let now = self.now;
+        let age = if self.cloud.catalog.is_some() { CATALOG_AGE } else { Span::millis(400) };
+        if !self.cloud.catalog_call
+            && (self.cloud.catalog_at == Time::ZERO || now.since(self.cloud.catalog_at) >= age)
+            && self.cloud.budget.take(now, 1.0)
+        {
+            self.cloud.catalog_call = true;
+            self.cloud.catalog_at = now;
+            self.call_cloud(CloudCall::Catalog, CloudWork::Catalog);
+        }
+        if !self.entitled() || self.shards.is_empty() {
+            return;
+        }
+        if !self.cloud.list_call && now.since(self.cloud.listed_at) >= LIST_PAUSE && self.cloud.budget.take(now, 1.0) {
+            self.cloud.list_call = true;
+            self.cloud.listed_at = now;
+            let work = CloudWork::List { so_far: Vec::new() };
+            self.call_cloud(CloudCall::List { after: None }, work);
+        }
+        let ids: Vec<ShardId> = self.shards.values().filter(|s| s.active).map(|s| s.id).collect();
+        for id in &ids {
+            self.delete_machines(*id);
+            self.ask_rentals(*id);
+        }
+        if self.cloud.catalog.is_some() && now.since(self.cloud.planned_at) >= PLAN_PAUSE {
+            self.cloud.planned_at = now;
+            for id in ids {
+                self.plan(id);
+                self.give_back(id);
+            }
+        }
+    }
+
+    /// Sends rentals that have not been sent, or whose answer got lost: the same request name
+    /// rents nothing twice.
+    fn ask_rentals(&mut self, id: ShardId) {
+        let now = self.now;
+        let Some(shard) = self.shards.get_mut(&id) else { return };
+        let claim = shard.claim;
+        let mut calls = Vec::new();
+        for (request, rental) in &mut shard.renting {
+            let due = rental.asked == Time::ZERO || now.since(rental.asked) > Span::millis(1000);
+            if !rental.in_flight && due && self.cloud.budget.take(now, 1.0) {
+                rental.in_flight = true;
+                rental.asked = now;
+                calls.push((
+                    CloudCall::Rent {
+                        request: request.clone(),
+                        kind: rental.kind.clone(),
+                        zone: rental.zone.clone(),
+                        spot: rental.spot,
+                        count: rental.count,
+                    },
+                    CloudWork::Rent { shard: id, claim, request: request.clone() },
+                ));
+            }
+        }
+        for (call, work) in calls {
+            self.call_cloud(call, work);
+        }
+    }
+
+    pub(super) fn cloud_answered(&mut self, work: CloudWork, answer: Result<CloudAnswer, CallError>) {
+        let now = self.now;
+        if let Err(CallError::Refused { over_limit: true }) = answer {
+            self.cloud.budget.exhausted(now);
+        }
+        match work {
+            CloudWork::Catalog => {
+                self.cloud.catalog_call = false;
+                if let Ok(CloudAnswer::Catalog(types)) = answer
+                    && !types.is_empty()
+                {
+                    self.cloud.types = types.iter().map(|kind| (kind.name.clone(), kind.clone())).collect();
+                    self.cloud.catalog = Some(types);
+                }
+            }
+            CloudWork::List { mut so_far } => match answer {
+                Ok(CloudAnswer::Machines { listed, more }) => {
+                    let after = listed.last().map(|machine| machine.id.clone());
+                    so_far.extend(listed);
+                    match after {
+                        Some(_) if more => {
+                            self.call_cloud(CloudCall::List { after }, CloudWork::List { so_far })
+                        }
+                        _ => {
+                            self.cloud.list_call = false;
+                            self.machines_listed(so_far);
+                        }
+                    }
+                }
+                _ => self.cloud.list_call = false,
+            },
+            CloudWork::Rent { shard, claim, request } => self.rented(shard, claim, request, answer),
+            CloudWork::Delete { shard, claim, machines } => self.deleted(shard, claim, machines, answer),
+            CloudWork::Purge => self.cloud.purging = false,
+        }
+    }
+
+    fn rented(&mut self, shard: ShardId, claim: Revision, request: String, answer: Result<CloudAnswer, CallError>) {
+        let now = self.now;
+        let Some(mine) = self.shards.get_mut(&shard).filter(|mine| mine.claim == claim) else { return };
+        let Some(rental) = mine.renting.get_mut(&request) else { return };
+        rental.in_flight = false;
+        match answer {
+            Ok(CloudAnswer::Rented(machines)) => {
+                let Some(rental) = mine.renting.remove(&request) else { return };
+                log::info!(
+                    "rented {} of {} {} in {}{}",
+                    machines.len(),
+                    rental.count,
+                    rental.kind,
+                    rental.zone,
+                    if rental.spot { ", spot" } else { "" }
+                );
+                for machine in &machines {
+                    self.machine_homes.insert(machine.clone(), shard);
+                    if mine.machines.contains_key(machine) {
+                        continue;
+                    }
+                    let (kind, zone) = (rental.kind.clone(), rental.zone.clone());
+                    let booting = Booting { kind, zone, spot: rental.spot, since: now, deleting: false };
+                    mine.booting.insert(machine.clone(), booting);
+                }
+                if (machines.len() as u32) < rental.count {
+                    self.cloud.refuse(&rental, now);
+                } else {
+                    self.cloud.refused.remove(&(rental.kind, rental.zone, rental.spot));
+                }
+                self.cloud.planned_at = Time::ZERO;
+            }
+            Ok(CloudAnswer::NoCapacity) => {
+                let Some(rental) = mine.renting.remove(&request) else { return };
+                log::info!("no {} to be had in {}{}", rental.kind, rental.zone, if rental.spot { ", spot" } else { "" });
+                self.cloud.refuse(&rental, now);
+                self.cloud.planned_at = Time::ZERO;
+            }
+            Err(CallError::Odd(status)) => {
+                log::error!("rental {request} was answered with {status}");
+                mine.renting.remove(&request);
+            }
+            _ => {}
+        }
+    }
+
+    fn delete_machines(&mut self, id: ShardId) {
+        let now = self.now;
+        let Some(shard) = self.shards.get_mut(&id) else { return };
+        if shard.deleting_until > now {
+            return;
+        }
+        let due = shard.machines.iter().filter(|(_, machine)| machine.deleting).map(|(id, _)| id.clone());
+        let stuck = shard.booting.iter().filter(|(_, machine)| machine.deleting).map(|(id, _)| id.clone());
+        let names: Vec<MachineId> = due.chain(stuck).take(MOST_DELETED).collect();
+        if names.is_empty() || !self.cloud.budget.take(now, 1.0) {
+            return;
+        }
+        shard.deleting_until = now + Span::millis(5000);
+        let claim = shard.claim;
+        let work = CloudWork::Delete { shard: id, claim, machines: names.clone() };
+        self.call_cloud(CloudCall::Delete(names), work);
+    }
+
+    fn deleted(&mut self, id: ShardId, claim: Revision, machines: Vec<MachineId>, answer: Result<CloudAnswer, CallError>) {
+        let now = self.now;
+        let Some(shard) = self.shards.get_mut(&id).filter(|shard| shard.claim == claim) else { return };
+        shard.deleting_until = match answer {
+            Ok(CloudAnswer::Deleted) => Time::ZERO,
+            _ => now + Span::millis(1000),
+        };
+        if !matches!(answer, Ok(CloudAnswer::Deleted)) {
+            return;
+        }
+        for machine in machines {
+            let Some(shard) = self.shards.get_mut(&id) else { return };
+            log::info!("machine {machine} given back");
+            shard.booting.remove(&machine);
+            if shard.machines.contains_key(&machine) {
+                // The cloud has confirmed it: the machine and all that ran there are gone.
+                shard.lose(&machine, |_, _| true, now);
+                if let Some(machine) = shard.machines.get_mut(&machine) {
+                    machine.proven = true;
+                }
+                self.forget_machine(id, &machine);
+            }
+        }
+    }
+
+    /// Takes a machine that is gone out of the records and out of memory.
+    pub(super) fn forget_machine(&mut self, id: ShardId, machine: &MachineId) {
+        let Some(shard) = self.shards.get_mut(&id) else { return };
+        let claim = shard.claim;
+        let Some(gone) = shard.machines.remove(machine) else { return };
+        shard.settle_unlocated();
+        self.machine_homes.remove(machine);
+        let key = records::machine_key(machine);
+        let request = StateCall::Commit {
+            conditions: vec![(records::shard_key(id), claim), (key.clone(), gone.version)],
+            changes: vec![Change::Delete(key)],
+        };
+        self.call_state(request, StateWork::Forget { shard: id, claim, machine: machine.clone() });
+    }
+
+    pub(super) fn machine_forgotten(
+        &mut self,
+        id: ShardId,
+        claim: Revision,
+        machine: MachineId,
+        answer: Result<StateAnswer, CallError>,
+    ) {
+        // What could not be written now: the record names a machine that never reports, which
+        // the next look at the cloud's list clears.
+        if answer.is_err()
+            && let Some(shard) = self.shard_under(id, claim)
+        {
+            shard.leftovers.push(machine);
+        }
+    }
+
+    fn machines_listed(&mut self, listed: Vec<Listed>) {
+        let (now, lease, lag) = (self.now, self.cfg.lease, self.cfg.list_lag);
+        self.cloud.listed = listed.into_iter().map(|machine| (machine.id.clone(), machine)).collect();
+        let ids: Vec<ShardId> = self.shards.values().filter(|s| s.active).map(|s| s.id).collect();
+        for id in &ids {
+            let Some(shard) = self.shards.get_mut(id) else { continue };
+            let mut vanished = Vec::new();
+            for (name, machine) in &mut shard.machines {
+                let entry = self.cloud.listed.get(name);
+                machine.listed |= entry.is_some();
+                if entry.is_some_and(|entry| entry.state == MachineState::Failed) {
+                    machine.deleting = true;
+                }
+                let silent = now.since(machine.seen) > lease + lag + lag + GONE;
+                if entry.is_none() && silent && machine.surely_dead(now, lease) {
+                    vanished.push(name.clone());
+                }
+            }
+            for (name, machine) in &mut shard.booting {
+                let Some(kind) = self.cloud.types.get(&machine.kind) else { continue };
+                let entry = self.cloud.listed.get(name);
+                let failed = entry.is_some_and(|entry| entry.state == MachineState::Failed);
+                let patience = kind.boot.times(2.5) + Span::millis(10_000);
+                machine.deleting |= failed || now.since(machine.since) > patience;
+            }
+            for name in vanished {
+                log::info!("machine {name} is gone");
+                self.forget_machine(*id, &name);
+            }
+        }
+        self.purge_strays(&ids);
+    }
+
+    /// Machines that nobody knows: rented by a request that was executed late, or by a node that
+    /// did not live to hear of it. Those that report are adopted; those that never boot, and the
+    /// remains of failed ones, are returned by the holder of the shard their number falls in.
+    fn purge_strays(&mut self, held: &[ShardId]) {
+        if self.cloud.purging {
+            return;
+        }
+        let mut strays = Vec::new();
+        for (name, entry) in &self.cloud.listed {
+            let known = self.shards.values().any(|s| s.machines.contains_key(name) || s.booting.contains_key(name));
+            let elsewhere = self.machine_homes.get(name).is_some_and(|home| !held.contains(home));
+            if known || elsewhere || !held.contains(&self.default_shard(name)) {
+                continue;
+            }
+            let boot = self.cloud.types.get(&entry.kind).map_or(Span::ZERO, |kind| kind.boot);
+            let stuck = entry.state == MachineState::Booting
+                && entry.age > boot.times(4.0) + Span::millis(30_000) + self.cfg.list_lag;
+            if stuck || (entry.state == MachineState::Failed && entry.age > Span::millis(30_000)) {
+                strays.push(name.clone());
+            }
+        }
+        strays.truncate(MOST_DELETED);
+        if !strays.is_empty() && self.cloud.budget.take(self.now, 1.0) {
+            log::info!("returning {} machines that nobody knows", strays.len());
+            self.cloud.purging = true;
+            self.call_cloud(CloudCall::Delete(strays), CloudWork::Purge);
+        }
+    }
+
+    /// Compares what the shard's work needs with the machines it has, and rents what is missing.
+    fn plan(&mut self, id: ShardId) {
+        let now = self.now;
+        let Some(shard) = self.shards.get(&id) else { return };
+        let demands = self.demands(shard);
+        let mut bins = self.bins(shard);
+        let mut missing: Vec<Demand> = Vec::new();
+        for demand in demands {
+            let left = fill(&mut bins, &demand, &self.cloud.types);
+            if left > 0 {
+                missing.push(Demand { count: left, spec: demand.spec });
+            }
+        }
+        let mut rentals = Vec::new();
+        let mut wishes = Vec::new();
+        for demand in missing {
+            // What was opened for an earlier job may have room for this one.
+            let left = fill(&mut bins, &demand, &self.cloud.types);
+            if left == 0 {
+                continue;
+            }
+            let Some((kind, zone, spot)) = self.cheapest(shard, &demand.spec, left, &bins) else {
+                wishes.push(MachineWish { shard: id, kind: Name::new(""), spot: demand.spec.spot, count: left });
+                continue;
+            };
+            let Some(of_kind) = self.cloud.types.get(&kind) else { continue };
+            let per_machine = of_kind.room.slots(&demand.spec.needs).max(1);
+            let count = left.div_ceil(per_machine).min(MOST_RENTED);
+            for _ in 0..count {
+                let (kind, zone, room) = (kind.clone(), zone.clone(), of_kind.room);
+                bins.push(Bin { id: None, kind, zone, spot, room, used: false });
+            }
+            fill(&mut bins, &Demand { count: left, spec: demand.spec }, &self.cloud.types);
+            rentals.push(Rental { kind, zone, spot, count, asked: Time::ZERO, in_flight: false });
+        }
+        let spare = bins.iter().filter(|bin| !bin.used).filter_map(|bin| bin.id.clone()).collect();
+        let Some(shard) = self.shards.get_mut(&id) else { return };
+        shard.spare = spare;
+        shard.wishes = wishes;
+        for rental in rentals {
+            self.counter += 1;
+            // Unique for ever: no other claim has this revision.
+            let request = format!("r-{}-{}", shard.claim, self.counter);
+            shard.renting.insert(request, rental);
+        }
+        let _ = now;
+        self.ask_rentals(id);
+    }
+
+    /// How many tasks each job should have room for at once, from the queue's front.
+    fn demands(&self, shard: &Shard) -> Vec<Demand> {
+        let mut jobs: Vec<_> = shard.jobs.values().filter(|job| job.ending != Some(Final::Done)).collect();
+        jobs.sort_by_key(|job| (job.spec.priority, &job.order));
+        let mut demands = Vec::new();
+        let mut used: HashMap<&Name, Resources> = HashMap::new();
+        let mut services = 0;
+        let mut newest: Option<&super::shard::Job> = None;
+        for job in &jobs {
+            if job.ending.is_some() {
+                continue;
+            }
+            let waiting = job.pending.len() + job.unlocated.len();
+            let wanted = match job.spec.kind {
+                JobKind::Service => {
+                    services += job.spec.tasks;
+                    newest = newest.filter(|other| other.order >= job.order).or(Some(job));
+                    job.spec.tasks
+                }
+                JobKind::Array => {
+                    let total = waiting + job.running.len() as u32;
+                    let target = self.per_slot_target(job);
+                    let slots = (f64::from(total) * self.cfg.own.headroom / target).ceil() as u32;
+                    slots.min(total)
+                }
+            };
+            // No more than the team may use at once.
+            let team = used.entry(&job.spec.team).or_default();
+            let limits = self.cfg.teams.get(&job.spec.team);
+            let most = limits.map_or(0, |limits| {
+                let left = |most: Option<Amount>, used: Amount| {
+                    most.map_or(Amount(u64::MAX), |most| Amount(most.0.saturating_sub(used.0)))
+                };
+                let room = Resources {
+                    cpus: left(limits.cpus_max, team.cpus),
+                    gpus: left(limits.gpus_max, team.gpus),
+                    memory: Amount(u64::MAX),
+                };
+                room.slots(&job.spec.needs)
+            });
+            let count = wanted.min(most);
+            for _ in 0..count {
+                *team = team.plus(&job.spec.needs);
+            }
+            let placed = if job.spec.kind == JobKind::Service { job.running.len() as u32 } else { 0 };
+            let count = count.saturating_sub(placed);
+            if count > 0 {
+                demands.push(Demand { spec: job.spec.clone(), count });
+            }
+        }
+        if let Some(job) = newest {
+            let spare = ((self.cfg.own.headroom - 1.0) * f64::from(services)).ceil() as u32;
+            let at = demands.iter().take_while(|d| d.spec.kind == JobKind::Service).count();
+            if spare > 0 {
+                demands.insert(at, Demand { spec: job.spec.clone(), count: spare });
+            }
+        }
+        demands
+    }
+
+    /// How many of a job's tasks one slot can take after one another before the job should be
+    /// done: the per-machine target of the source, per slot.
+    fn per_slot_target(&self, job: &super::shard::Job) -> f64 {
+        let age = self.day_ms.saturating_sub(job.accepted_ms) as f64 / 1000.0;
+        let horizon = job
+            .spec
+            .deadline_s
+            .or_else(|| self.cfg.finish_within.get(&job.spec.class).map(|span| span.as_secs()));
+        let Some(horizon) = horizon else { return 2.0 };
+        let left = horizon - age;
+        let boot = self.cloud.catalog.iter().flatten().map(|kind| kind.boot.as_secs()).fold(f64::MAX, f64::min);
+        let fetch = self
+            .cloud
+            .catalog
+            .iter()
+            .flatten()
+            .map(|kind| job.spec.image_gb / kind.fetch_gb_per_s)
+            .fold(f64::MAX, f64::min);
+        let usable = left * 0.85 - boot - fetch;
+        (usable / job.run_time()).floor().max(1.0)
+    }
+
+    fn bins(&self, shard: &Shard) -> Vec<Bin> {
+        let (now, lease) = (self.now, self.cfg.lease);
+        let mut bins = Vec::new();
+        for (id, machine) in &shard.machines {
+            let quiet = now.since(machine.seen) > lease;
+            if machine.draining || machine.deleting || machine.notice.is_some() || quiet {
+                continue;
+            }
+            let Some(kind) = self.cloud.types.get(&machine.kind) else { continue };
+            let mut room = kind.room;
+            let mut used = false;
+            for attempt in machine.attempts.values().filter(|attempt| !attempt.is_over()) {
+                let service = shard.jobs.get(&attempt.task.job).is_some_and(|j| j.spec.kind == JobKind::Service);
+                if service {
+                    room = room.minus(&attempt.needs);
+                    used = true;
+                }
+            }
+            let (kind, zone) = (machine.kind.clone(), machine.zone.clone());
+            bins.push(Bin { id: Some(id.clone()), kind, zone, spot: machine.spot, room, used });
+        }
+        let booting = shard.booting.values().filter(|machine| !machine.deleting);
+        let booting = booting.filter(|machine| {
+            // One that is overdue may never come.
+            self.cloud.types.get(&machine.kind).is_some_and(|k| now.since(machine.since) < k.boot.times(1.8) + Span::millis(5000))
+        });
+        let coming = booting.map(|m| (&m.kind, &m.zone, m.spot, 1));
+        let asked = shard.renting.values().map(|r| (&r.kind, &r.zone, r.spot, r.count));
+        for (kind, zone, spot, count) in coming.chain(asked) {
+            let Some(of_kind) = self.cloud.types.get(kind) else { continue };
+            for _ in 0..count {
+                let (kind, zone, room) = (kind.clone(), zone.clone(), of_kind.room);
+                bins.push(Bin { id: None, kind, zone, spot, room, used: false });
+            }
+        }
+        // Fullest first, so that the emptiest become free to be given back.
+        bins.sort_by_key(|bin| (!bin.used, bin.id.is_none(), bin.room.cpus));
+        bins
+    }
+
+    fn cheapest(&self, shard: &Shard, spec: &JobSpec, count: u32, bins: &[Bin]) -> Option<(Name, Name, bool)> {
+        let _ = shard;
+        let mut best: Option<(f64, usize, Name, Name, bool)> = None;
+        for kind in self.cloud.catalog.iter().flatten() {
+            if !spec.allows_type(&kind.name) || !spec.needs.fits_in(&kind.room) {
+                continue;
+            }
+            let machines = count.div_ceil(kind.room.slots(&spec.needs).max(1));
+            for spot in [false, true] {
+                if spot && !spec.spot {
+                    continue;
+                }
+                let price = if spot { kind.spot_price } else { kind.price };
+                let cost = price * f64::from(machines);
+                for zone in &kind.zones {
+                    if !spec.allows_zone(zone) || self.cloud.is_refused(&kind.name, zone, spot, self.now) {
+                        continue;
+                    }
+                    let there = bins.iter().filter(|bin| bin.zone == *zone).count();
+                    let better = best.as_ref().is_none_or(|(c, n, ..)| cost < *c - 1e-9 || (cost <= *c && there < *n));
+                    if better {
+                        best = Some((cost, there, kind.name.clone(), zone.clone(), spot));
+                    }
+                }
+            }
+        }
+        best.map(|(_, _, kind, zone, spot)| (kind, zone, spot))
+    }
+
+    /// Returns machines that have been idle for a while and that the count found no use for.
+    fn give_back(&mut self, id: ShardId) {
+        let (now, wait) = (self.now, self.cfg.own.give_back);
+        let lease = self.cfg.lease;
+        let Some(shard) = self.shards.get_mut(&id) else { return };
+        let spare = std::mem::take(&mut shard.spare);
+        for (name, machine) in &mut shard.machines {
+            if !machine.listed || machine.deleting {
+                continue;
+            }
+            let idle = machine.is_empty() && machine.proven;
+            if idle && spare.contains(name) && now.since(machine.idle_since) >= wait {
+                machine.deleting = true;
+            }
+            // Paid for, and its tasks are long started anew elsewhere.
+            if machine.surely_dead(now, lease) && now.since(machine.seen) > lease.times(1.5) {
+                machine.deleting = true;
+            }
+        }
+        shard.spare = spare;
+    }
+}
+
+/// Puts as much of the demand as possible into the bins; gives back what is left.
+fn fill(bins: &mut [Bin], demand: &Demand, types: &HashMap<Name, MachineType>) -> u32 {
+    let spec = &demand.spec;
+    let mut left = demand.count;
+    for spot in [true, false] {
+        for bin in bins.iter_mut().filter(|bin| bin.spot == spot) {
+            if left == 0 {
+                return 0;
+            }
+            let allowed = (spec.spot || !spot) && spec.allows_type(&bin.kind) && spec.allows_zone(&bin.zone);
+            if !allowed || !types.contains_key(&bin.kind) {
+                continue;
+            }
+            let taken = bin.room.slots(&spec.needs).min(left);
+            for _ in 0..taken {
+                bin.room = bin.room.minus(&spec.needs);
+            }
+            bin.used |= taken > 0;
+            left -= taken;
+        }
+    }
+    left
+}
+
+// Moving idle machines between shards.
+impl Controller {
+    pub(super) fn moved(&mut self, shard: ShardId, claim: Revision, machine: MachineId, to: ShardId, answer: Result<StateAnswer, CallError>) {
+        let _ = (shard, claim, machine, to, answer);
+    }
+
+    pub(super) fn machine_moved_in(&mut self, machine: MachineId, shard: ShardId) {
+        let _ = (machine, shard);
+    }
+}
--- /dev/null
+++ b/src/coordination/ledger.rs
@@ -0,0 +1,229 @@
+//! Writing jobs' records: progress in rounds, ends at once.
+
+use super::members::to_value;
+use super::*;
+use crate::bookkeeping::ranges::RangeSet;
+use crate::bookkeeping::records::{self, EndRecord, LiveRecord};
+use crate::protocol::state::Change;
+
+/// What of a job's record was written or read.
+pub(super) enum JobWrite {
+    Progress { done: RangeSet, untouched: u32 },
+    End(Final),
+    Reread,
+    RereadEnd,
+}
+
+impl Controller {
+    /// Starts recording the end of every job whose tasks are all done.
+    pub(super) fn finish_jobs(&mut self, shard_id: ShardId) {
+        let Some(shard) = self.shards.get_mut(&shard_id) else { return };
+        let mut ready = Vec::new();
+        for job in shard.jobs.values_mut() {
+            if job.spec.kind == JobKind::Array && job.ending.is_none() && job.done.len() == job.spec.tasks {
+                job.ending = Some(Final::Done);
+                ready.push(job.spec.id.clone());
+            }
+        }
+        for id in ready {
+            self.write_end(shard_id, &id);
+        }
+    }
+
+    pub(super) fn write_end(&mut self, shard_id: ShardId, id: &JobId) {
+        if !self.entitled() {
+            return;
+        }
+        let Some(shard) = self.shards.get_mut(&shard_id) else { return };
+        let claim = shard.claim;
+        let Some(job) = shard.jobs.get_mut(id) else { return };
+        let Some(state) = job.ending else { return };
+        if job.writing || job.unsure {
+            return;
+        }
+        job.writing = true;
+        let end = EndRecord { state, done: job.done.len() };
+        let (live, key) = (records::live_key(id), records::end_key(id));
+        let request = StateCall::Commit {
+            conditions: vec![
+                (records::shard_key(shard_id), claim),
+                (live.clone(), job.version),
+                (key.clone(), Revision(0)),
+            ],
+            changes: vec![Change::Delete(live), Change::Put { key, value: to_value(&end), hold: None }],
+        };
+        let work = StateWork::Job { shard: shard_id, claim, job: id.clone(), work: JobWrite::End(state) };
+        self.call_state(request, work);
+    }
+
+    /// The rounds: writes what has changed, a job at a time, as far as the budget goes.
+    pub(super) fn ledger_tick(&mut self) {
+        if !self.entitled() {
+            return;
+        }
+        let now = self.now;
+        let ids: Vec<ShardId> = self.shards.values().filter(|s| s.active).map(|s| s.id).collect();
+        for shard_id in ids {
+            let Some(shard) = self.shards.get_mut(&shard_id) else { continue };
+            let (mut ends, mut dirty, mut rereads) = (Vec::new(), Vec::new(), Vec::new());
+            for job in shard.jobs.values() {
+                if job.writing || now.since(job.last_write) < self.cfg.own.round {
+                    continue;
+                }
+                let id = job.spec.id.clone();
+                if job.unsure {
+                    rereads.push(id);
+                } else if job.ending.is_some() {
+                    ends.push(id);
+                } else if job.is_dirty() {
+                    let held_back = job.pending.first().is_some_and(|next| next >= job.untouched);
+                    dirty.push((!held_back, job.last_write, id));
+                }
+            }
+            for id in rereads {
+                self.reread(shard_id, &id);
+            }
+            for id in ends {
+                if let Some(job) = self.shards.get_mut(&shard_id).and_then(|s| s.jobs.get_mut(&id)) {
+                    job.last_write = now;
+                }
+                self.write_end(shard_id, &id);
+            }
+            dirty.sort();
+            for (_, _, id) in dirty {
+                if !self.writes.take(now, 0.5) {
+                    break;
+                }
+                self.write_progress(shard_id, &id);
+            }
+        }
+    }
+
+    fn write_progress(&mut self, shard_id: ShardId, id: &JobId) {
+        let (now, value_bytes) = (self.now, self.cfg.value_bytes);
+        let Some(shard) = self.shards.get_mut(&shard_id) else { return };
+        let claim = shard.claim;
+        let Some(job) = shard.jobs.get_mut(id) else { return };
+        let mut record = LiveRecord {
+            shard: shard_id,
+            job: job.spec.clone(),
+            accepted_ms: job.accepted_ms,
+            done: String::new(),
+            untouched: job.wants_untouched(),
+        };
+        // What does not fit is not recorded, and so not forgotten by the workers either.
+        let base = to_value(&record).to_string().len();
+        let done = job.done.within(value_bytes.saturating_sub(base + 16));
+        record.done = done.to_string();
+        job.writing = true;
+        job.last_write = now;
+        let key = records::live_key(id);
+        let request = StateCall::Commit {
+            conditions: vec![(records::shard_key(shard_id), claim), (key.clone(), job.version)],
+            changes: vec![Change::Put { key, value: to_value(&record), hold: None }],
+        };
+        let work = JobWrite::Progress { done, untouched: record.untouched };
+        self.call_state(request, StateWork::Job { shard: shard_id, claim, job: id.clone(), work });
+    }
+
+    /// What became of a write is not known, or the record is not as expected.
+    fn reread(&mut self, shard_id: ShardId, id: &JobId) {
+        let now = self.now;
+        let Some(shard) = self.shards.get_mut(&shard_id) else { return };
+        let claim = shard.claim;
+        let Some(job) = shard.jobs.get_mut(id) else { return };
+        job.writing = true;
+        job.last_write = now;
+        let request = StateCall::Get(records::live_key(id));
+        let work = JobWrite::Reread;
+        self.call_state(request, StateWork::Job { shard: shard_id, claim, job: id.clone(), work });
+    }
+
+    pub(super) fn job_written(
+        &mut self,
+        shard_id: ShardId,
+        claim: Revision,
+        id: JobId,
+        work: JobWrite,
+        answer: Result<StateAnswer, CallError>,
+    ) {
+        let Some(shard) = self.shard_under(shard_id, claim) else { return };
+        let Some(job) = shard.jobs.get_mut(&id) else { return };
+        job.writing = false;
+        if let Ok(StateAnswer::Conflict(failed)) = &answer
+            && failed.contains(&records::shard_key(shard_id))
+        {
+            return self.drop_shard(shard_id, "the claim is another's");
+        }
+        match (work, answer) {
+            (JobWrite::Progress { done, untouched }, Ok(StateAnswer::Committed(version))) => {
+                job.version = version;
+                job.recorded = done;
+                job.untouched = untouched;
+            }
+            (JobWrite::End(state), Ok(StateAnswer::Committed(_))) => {
+                return self.job_ended(shard_id, &id, state);
+            }
+            (JobWrite::Reread, Ok(StateAnswer::Found(entry))) => {
+                match serde_json::from_value::<LiveRecord>(entry.value) {
+                    Ok(record) => {
+                        job.version = entry.version;
+                        job.recorded = RangeSet::parse(&record.done, job.spec.tasks).unwrap_or_default();
+                        job.untouched = record.untouched.min(job.spec.tasks);
+                        job.unsure = false;
+                    }
+                    Err(error) => log::error!("record of job {id} can't be read: {error}"),
+                }
+            }
+            (JobWrite::Reread, Ok(StateAnswer::Missing)) => {
+                job.writing = true;
+                let request = StateCall::Get(records::end_key(&id));
+                let work = JobWrite::RereadEnd;
+                return self.call_state(request, StateWork::Job { shard: shard_id, claim, job: id, work });
+            }
+            (JobWrite::RereadEnd, Ok(StateAnswer::Found(entry))) => {
+                if let Ok(end) = serde_json::from_value::<EndRecord>(entry.value) {
+                    return self.job_ended(shard_id, &id, end.state);
+                }
+            }
+            // Refused means not executed: the next round tries again.
+            (JobWrite::Progress { .. } | JobWrite::End(_), Err(CallError::Refused { .. })) => {
+                if job.ending.is_some() {
+                    let askers = std::mem::take(&mut job.cancel_askers);
+                    for asker in askers {
+                        self.reply(asker, Reply::busy("state not reachable"));
+                    }
+                }
+                return;
+            }
+            _ => {
+                job.unsure = true;
+                let askers = std::mem::take(&mut job.cancel_askers);
+                for asker in askers {
+                    self.reply(asker, Reply::busy("state not reachable"));
+                }
+                return;
+            }
+        }
+        self.write_end(shard_id, &id);
+    }
+
+    /// The job's end is durable: now it may be told, and its tasks may go.
+    fn job_ended(&mut self, shard_id: ShardId, id: &JobId, state: Final) {
+        let Some(shard) = self.shards.get_mut(&shard_id) else { return };
+        let Some(job) = shard.jobs.remove(id) else { return };
+        for machine in shard.machines.values_mut() {
+            for attempt in machine.attempts.values_mut() {
+                if attempt.task.job == *id && !attempt.is_over() {
+                    attempt.stop = Some(0.0);
+                }
+            }
+        }
+        log::info!("job {id} {state:?}");
+        self.job_homes.remove(id);
+        self.ended.insert(id.clone(), state, job.done.len());
+        for asker in job.cancel_askers {
+            self.cancel(asker, id.clone());
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/members.rs
@@ -0,0 +1,408 @@
+//! This node's lease, who holds which shard, takeover and hand-back.
+
+use super::shard::Shard;
+use super::*;
+use crate::bookkeeping::records::{self, LiveRecord, MachineRecord, ShardRecord};
+use crate::protocol::peers::MachineWish;
+use crate::protocol::state::{Change, Entry};
+
+const BEAT: Span = Span::millis(400);
+/// A node that has been silent for so long is not waited for.
+const SILENT: Span = Span::millis(1500);
+/// How long a home node has to be ready before it gets its shard back.
+const SETTLED: Span = Span::millis(800);
+/// How long a shard that nobody has held yet is left to its home node.
+const FIRST_WAIT: Span = Span::millis(3000);
+
+impl Controller {
+    pub(super) fn members_tick(&mut self) {
+        let life = self.cfg.own.claim_life;
+        if !self.hold_call {
+            match &self.hold {
+                None if self.now.since(self.last_touch) > Span::millis(200) || self.last_touch == Time::ZERO => {
+                    self.hold_call = true;
+                    self.last_touch = self.now;
+                    let request = StateCall::Grant { life_ms: life.as_millis() };
+                    self.call_state(request, StateWork::Grant { sent: self.now });
+                }
+                Some(hold) => {
+                    // Sooner once one has failed: every try may be the one that saves the claim.
+                    let left = hold.right_until.since(self.now);
+                    let pause = if left < life.times(0.6) { Span::millis(300) } else { life.times(0.25) };
+                    if self.now.since(self.last_touch) >= pause {
+                        self.hold_call = true;
+                        self.last_touch = self.now;
+                        let id = hold.id;
+                        self.call_state(StateCall::Touch(id), StateWork::Touch { hold: id, sent: self.now });
+                    }
+                }
+                None => {}
+            }
+        }
+        if !self.watching && self.now.since(self.last_watch) >= self.cfg.own.claim_watch {
+            self.watching = true;
+            self.last_watch = self.now;
+            self.call_state(StateCall::List { prefix: records::SHARDS, after: None }, StateWork::Watch);
+        }
+        if self.now.since(self.last_beat) >= BEAT {
+            self.send_beat();
+        }
+    }
+
+    fn send_beat(&mut self) {
+        self.last_beat = self.now;
+        let rented = self.shards.values().flat_map(|shard| {
+            shard.booting.keys().map(|machine| (machine.clone(), shard.id)).collect::<Vec<_>>()
+        });
+        let message = PeerMessage::Beat {
+            entitled: self.entitled(),
+            ready: self.entitled() && self.cloud.catalog.is_some(),
+            held: self.shards.values().filter(|s| s.active).map(|s| (s.id, s.claim)).collect(),
+            rented: rented.collect(),
+            wanted: self.shards.values().flat_map(|shard| shard.wishes.clone()).collect(),
+        };
+        for (peer, _) in &self.cfg.peers {
+            self.out.push(Action::Send { to: peer.clone(), message: message.clone() });
+        }
+    }
+
+    pub(super) fn granted(&mut self, sent: Time, answer: Result<StateAnswer, CallError>) {
+        self.hold_call = false;
+        if let Ok(StateAnswer::Granted(id)) = answer {
+            log::info!("lease {id} granted");
+            self.hold = Some(Hold { id, right_until: sent + self.cfg.own.claim_life.shrunk() });
+            self.last_watch = Time::ZERO;
+        }
+    }
+
+    pub(super) fn touched(&mut self, id: HoldId, sent: Time, answer: Result<StateAnswer, CallError>) {
+        self.hold_call = false;
+        let Some(hold) = &mut self.hold else { return };
+        if hold.id != id {
+            return;
+        }
+        match answer {
+            Ok(StateAnswer::Touched) => {
+                let until = sent + self.cfg.own.claim_life.shrunk();
+                hold.right_until = hold.right_until.max(until);
+            }
+            Ok(StateAnswer::NoHold) => {
+                log::warn!("lease {id} has ended");
+                self.hold = None;
+                self.last_touch = Time::ZERO;
+                let held: Vec<ShardId> = self.shards.keys().copied().collect();
+                for shard in held {
+                    self.drop_shard(shard, "the lease has ended");
+                }
+            }
+            // Refused or unanswered: the right runs out by itself unless a later try succeeds.
+            _ => {}
+        }
+    }
+
+    /// Lets go of a shard in memory. Nothing is written: what stands in the state service is
+    /// what the next holder starts from.
+    pub(super) fn drop_shard(&mut self, id: ShardId, why: &str) {
+        if let Some(shard) = self.shards.remove(&id) {
+            log::warn!("shard {id} (claim {}) let go: {why}", shard.claim);
+            for (ask, _) in shard.early {
+                self.reply(Asker::Local(ask), Reply::busy("changing hands"));
+            }
+        }
+    }
+
+    pub(super) fn home_of(&self, shard: ShardId) -> &NodeLabel {
+        &self.cfg.nodes[shard.0 as usize % self.cfg.nodes.len()]
+    }
+
+    pub(super) fn holder_of(&self, shard: ShardId) -> Option<&NodeLabel> {
+        self.views.get(shard.0 as usize).and_then(|view| view.holder.as_ref())
+    }
+
+    pub(super) fn watched(&mut self, answer: Result<StateAnswer, CallError>) {
+        self.watching = false;
+        let Ok(StateAnswer::Page { entries, .. }) = answer else { return };
+        for at in 0..self.cfg.shards {
+            let id = ShardId(at);
+            let key = records::shard_key(id);
+            match entries.iter().find(|entry| entry.key == key) {
+                Some(entry) => self.shard_seen(id, entry),
+                None => self.shard_absent(id),
+            }
+        }
+    }
+
+    fn shard_seen(&mut self, id: ShardId, entry: &Entry) {
+        let Ok(record) = serde_json::from_value::<ShardRecord>(entry.value.clone()) else { return };
+        let view = &mut self.views[id.0 as usize];
+        if entry.version < view.claim {
+            return;
+        }
+        view.absent_since = None;
+        view.claim = entry.version;
+        view.holder = Some(record.node.clone());
+        let mine = record.node == self.cfg.label && record.life == self.life;
+        match self.shards.get(&id).map(|shard| shard.claim) {
+            Some(claim) if claim < entry.version => self.drop_shard(id, "claimed by another node"),
+            // A claim or a release of ours whose answer was lost. It is claimed anew rather than
+            // taken as it is: under an old claim there may be commands on their way that this
+            // node no longer remembers, and only a higher token tells reports from before them
+            // from reports after.
+            None if mine && !self.claiming(id) => self.claim(id, entry.version),
+            _ => {}
+        }
+    }
+
+    fn claiming(&self, id: ShardId) -> bool {
+        self.state_work.values().any(|work| match work {
+            StateWork::Claim { shard, .. } | StateWork::Release { shard, .. } => *shard == id,
+            _ => false,
+        })
+    }
+
+    fn shard_absent(&mut self, id: ShardId) {
+        // A list may have been made before a claim that this node knows to have succeeded.
+        if self.shards.contains_key(&id) || self.claiming(id) {
+            return;
+        }
+        let now = self.now;
+        let view = &mut self.views[id.0 as usize];
+        let since = *view.absent_since.get_or_insert(now);
+        let ever_held = view.claim.0 > 0;
+        view.holder = None;
+        let nodes = self.cfg.nodes.len() as u32;
+        let rank = (self.cfg.me.0 + nodes - id.0 % nodes) % nodes;
+        if rank > 0 {
+            let home = self.home_of(id).clone();
+            let home_alive = self
+                .peers
+                .get(&home)
+                .is_some_and(|peer| peer.ready_since.is_some() && now.since(peer.seen) < SILENT);
+            let burden = Span::millis(300 * (rank as u64 - 1 + 2 * self.shards.len().saturating_sub(1) as u64));
+            let wait = match (home_alive, ever_held) {
+                (true, _) => Span::millis(1500) + burden,
+                (false, true) => burden,
+                (false, false) => FIRST_WAIT + burden,
+            };
+            if now.since(since) < wait || now.since(self.started) < FIRST_WAIT.min(wait) {
+                return;
+            }
+        }
+        self.claim(id, Revision(0));
+    }
+
+    /// Claims a shard whose key has the given version.
+    fn claim(&mut self, id: ShardId, version: Revision) {
+        if !self.entitled() {
+            return;
+        }
+        let Some(hold) = self.hold.as_ref().map(|hold| hold.id) else { return };
+        let record = ShardRecord { node: self.cfg.label.clone(), life: self.life };
+        let key = records::shard_key(id);
+        let request = StateCall::Commit {
+            conditions: vec![(key.clone(), version)],
+            changes: vec![Change::Put { key, value: to_value(&record), hold: Some(hold) }],
+        };
+        self.call_state(request, StateWork::Claim { shard: id, hold });
+    }
+
+    pub(super) fn claimed(&mut self, id: ShardId, hold: HoldId, answer: Result<StateAnswer, CallError>) {
+        let same = self.hold.as_ref().is_some_and(|now| now.id == hold);
+        match answer {
+            Ok(StateAnswer::Committed(revision)) if same => self.start_loading(id, revision),
+            // Whoever was quicker, or what became of an unanswered claim, is seen at the next
+            // look at the shards.
+            _ => {}
+        }
+    }
+
+    fn start_loading(&mut self, id: ShardId, claim: Revision) {
+        log::info!("shard {id} claimed at revision {claim}");
+        let view = &mut self.views[id.0 as usize];
+        view.holder = Some(self.cfg.label.clone());
+        view.claim = view.claim.max(claim);
+        view.absent_since = None;
+        self.shards.insert(id, Shard::new(id, claim, self.now));
+        self.load_jobs(id, claim, None);
+    }
+
+    fn load_jobs(&mut self, shard: ShardId, claim: Revision, after: Option<String>) {
+        let request = StateCall::List { prefix: records::LIVE, after };
+        self.call_state(request, StateWork::LoadJobs { shard, claim });
+    }
+
+    fn load_machines(&mut self, shard: ShardId, claim: Revision, after: Option<String>) {
+        let request = StateCall::List { prefix: records::MACHINES, after };
+        self.call_state(request, StateWork::LoadMachines { shard, claim });
+    }
+
+    /// The shard if it is still held by the claim that something was started under.
+    pub(super) fn shard_under(&mut self, id: ShardId, claim: Revision) -> Option<&mut Shard> {
+        self.shards.get_mut(&id).filter(|shard| shard.claim == claim)
+    }
+
+    pub(super) fn loaded_jobs(&mut self, id: ShardId, claim: Revision, answer: Result<StateAnswer, CallError>) {
+        let Some(shard) = self.shard_under(id, claim) else { return };
+        let Ok(StateAnswer::Page { entries, more }) = answer else {
+            shard.retry_load = true;
+            return;
+        };
+        for entry in &entries {
+            match serde_json::from_value::<LiveRecord>(entry.value.clone()) {
+                Ok(record) if record.shard == id => shard.load_job(record, entry.version),
+                Ok(_) => {}
+                Err(error) => log::error!("record {} can't be read: {error}", entry.key),
+            }
+        }
+        match entries.last() {
+            Some(last) if more => self.load_jobs(id, claim, Some(last.key.clone())),
+            _ => self.load_machines(id, claim, None),
+        }
+    }
+
+    pub(super) fn loaded_machines(&mut self, id: ShardId, claim: Revision, answer: Result<StateAnswer, CallError>) {
+        let proof_by = self.now + self.grace() + self.cfg.lease.stretched() + Span::millis(500);
+        let Some(shard) = self.shards.get_mut(&id).filter(|shard| shard.claim == claim) else { return };
+        let Ok(StateAnswer::Page { entries, more }) = answer else {
+            shard.retry_load = true;
+            return;
+        };
+        for entry in &entries {
+            let name = entry.key.strip_prefix(records::MACHINES).unwrap_or_default();
+            match serde_json::from_value::<MachineRecord>(entry.value.clone()) {
+                Ok(record) => {
+                    let machine = MachineId::new(name);
+                    self.machine_homes.insert(machine.clone(), record.shard);
+                    if record.shard == id {
+                        shard.load_machine(machine, &record, entry.version, proof_by);
+                    }
+                }
+                Err(error) => log::error!("record {} can't be read: {error}", entry.key),
+            }
+        }
+        if let (true, Some(last)) = (more, entries.last()) {
+            self.load_machines(id, claim, Some(last.key.clone()));
+            return;
+        }
+        shard.active = true;
+        shard.settle_unlocated();
+        log::info!(
+            "shard {id} loaded: {} jobs, {} machines, {} ms after the claim",
+            shard.jobs.len(),
+            shard.machines.len(),
+            self.now.since(shard.claimed_at).as_millis()
+        );
+        let early = std::mem::take(&mut shard.early);
+        for (ask, report) in early {
+            self.reported(ask, report);
+        }
+        self.send_beat();
+        self.probe_machines(id);
+    }
+
+    /// Loading that was refused or unanswered starts again: a claim must not lie idle.
+    pub(super) fn retry_loads(&mut self) {
+        let again: Vec<(ShardId, Revision)> = self
+            .shards
+            .values_mut()
+            .filter(|shard| shard.retry_load)
+            .map(|shard| {
+                shard.retry_load = false;
+                shard.jobs.clear();
+                shard.machines.clear();
+                (shard.id, shard.claim)
+            })
+            .collect();
+        for (id, claim) in again {
+            self.load_jobs(id, claim, None);
+        }
+    }
+
+    pub(super) fn beat_heard(
+        &mut self,
+        from: NodeLabel,
+        entitled: bool,
+        ready: bool,
+        held: Vec<(ShardId, Revision)>,
+        rented: Vec<(MachineId, ShardId)>,
+        wanted: Vec<MachineWish>,
+    ) {
+        let now = self.now;
+        for (machine, shard) in rented {
+            self.machine_homes.insert(machine, shard);
+        }
+        for &(shard, claim) in &held {
+            let Some(view) = self.views.get_mut(shard.0 as usize) else { continue };
+            if claim > view.claim {
+                view.claim = claim;
+                view.holder = Some(from.clone());
+                view.absent_since = None;
+                // The other's claim can only have succeeded after ours had ended.
+                if self.shards.get(&shard).is_some_and(|mine| mine.claim < claim) {
+                    self.drop_shard(shard, "another node has a newer claim");
+                }
+            }
+        }
+        let since = match self.peers.get(&from) {
+            Some(peer) if ready && now.since(peer.seen) < SILENT => peer.ready_since.or(Some(now)),
+            _ => ready.then_some(now),
+        };
+        let view = PeerView { seen: now, ready_since: since, entitled, held, wanted };
+        self.peers.insert(from.clone(), view);
+        self.hand_back(&from);
+    }
+
+    /// Gives a shard back to its home node once that is settled and holds none.
+    fn hand_back(&mut self, node: &NodeLabel) {
+        let Some(peer) = self.peers.get(node) else { return };
+        let settled = peer.ready_since.is_some_and(|since| self.now.since(since) >= SETTLED);
+        if !settled || !peer.held.is_empty() || !self.entitled() || self.shards.len() < 2 {
+            return;
+        }
+        let theirs = self.shards.values().find(|shard| shard.active && self.home_of(shard.id) == node);
+        let Some((id, claim)) = theirs.map(|shard| (shard.id, shard.claim)) else { return };
+        if self.claiming(id) {
+            return;
+        }
+        log::info!("shard {id} goes back to {node}");
+        let key = records::shard_key(id);
+        let request = StateCall::Commit {
+            conditions: vec![(key.clone(), claim)],
+            changes: vec![Change::Delete(key)],
+        };
+        self.call_state(request, StateWork::Release { shard: id, claim });
+    }
+
+    pub(super) fn released(&mut self, id: ShardId, claim: Revision, answer: Result<StateAnswer, CallError>) {
+        if self.shard_under(id, claim).is_none() {
+            return;
+        }
+        match answer {
+            // An unanswered release may be executed at any later time, so the shard is given up
+            // at once. If it was not executed, the key is seen as our own and claimed back by
+            // loading anew.
+            Ok(StateAnswer::Committed(_)) | Err(CallError::NoAnswer) | Ok(StateAnswer::Conflict(_)) => {
+                self.drop_shard(id, "handed back");
+                self.views[id.0 as usize].holder = None;
+                let home = self.home_of(id).clone();
+                self.out.push(Action::Send { to: home, message: PeerMessage::Released { shard: id } });
+            }
+            _ => {}
+        }
+    }
+
+    pub(super) fn shard_released(&mut self, id: ShardId) {
+        if (id.0 as usize) < self.views.len()
+            && self.home_of(id) == &self.cfg.label
+            && !self.shards.contains_key(&id)
+            && !self.claiming(id)
+        {
+            self.claim(id, Revision(0));
+        }
+    }
+}
+
+pub(super) fn to_value(record: &impl serde::Serialize) -> serde_json::Value {
+    // Records have text keys and finite numbers only, so this cannot fail.
+    serde_json::to_value(record).unwrap_or_default()
+}
--- /dev/null
+++ b/src/coordination/mod.rs
@@ -0,0 +1,421 @@
+//! What runs where: shards and their leases, queues and binding, quotas, the fleet. No input or
+//! output happens here: events and a clock reading go in, actions come out, and the tests drive
+//! the same code in simulated time.
+
+mod binding;
+mod fleet;
+mod ledger;
+mod members;
+mod shard;
+mod users;
+mod workers;
+
+use crate::bookkeeping::budget::Budget;
+use crate::config::Settings;
+use crate::model::*;
+use crate::protocol::cloud::{CloudAnswer, CloudCall};
+use crate::protocol::peers::{Envelope, PeerAsk, PeerMessage};
+use crate::protocol::state::{StateAnswer, StateCall};
+use crate::protocol::users::Ask;
+use crate::protocol::workers::{WorkerAnswer, WorkerCall};
+use crate::protocol::{CallError, Reply};
+use crate::time::{Span, Time};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use shard::Shard;
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::net::SocketAddrV4;
+
+/// A request of a user or a worker that waits for its reply.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct AskId(pub u64);
+
+/// A call to an outside service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct CallNo(pub u64);
+
+/// What both clocks of the process show.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    pub steady: Time,
+    /// The time of day in milliseconds.
+    pub day_ms: u64,
+}
+
+#[derive(Debug)]
+pub enum Event {
+    Ask { id: AskId, ask: Ask },
+    State { call: CallNo, answer: Result<StateAnswer, CallError> },
+    Cloud { call: CallNo, answer: Result<CloudAnswer, CallError> },
+    Worker { call: CallNo, answer: Result<WorkerAnswer, CallError> },
+    Peer(Envelope),
+    /// Comes about ten times a second.
+    Tick,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    Reply { id: AskId, reply: Reply },
+    State { call: CallNo, request: StateCall },
+    Cloud { call: CallNo, request: CloudCall },
+    Worker { call: CallNo, addr: SocketAddrV4, request: WorkerCall },
+    Send { to: NodeLabel, message: PeerMessage },
+}
+
+/// Who waits for an answer: a client of this node, or another node on behalf of one.
+#[derive(Clone, Debug, PartialEq)]
+enum Asker {
+    Local(AskId),
+    Peer { node: NodeLabel, number: u64 },
+}
+
+/// What is known of another controller.
+struct PeerView {
+    seen: Time,
+    /// Since when it has been ready without a break.
+    ready_since: Option<Time>,
+    entitled: bool,
+    held: Vec<(ShardId, Revision)>,
+    wanted: Vec<crate::protocol::peers::MachineWish>,
+}
+
+/// Who holds a shard, as last read from the state service or heard.
+#[derive(Clone, Default)]
+struct ShardView {
+    holder: Option<NodeLabel>,
+    claim: Revision,
+    absent_since: Option<Time>,
+}
+
+/// This node's lease at the state service.
+struct Hold {
+    id: HoldId,
+    /// Until when everything attached to it surely stands. Measured from when the renewal was
+    /// sent, so that a slow answer never lengthens it.
+    right_until: Time,
+}
+
+/// Calls to the state service and what to do with their answers.
+enum StateWork {
+    Grant { sent: Time },
+    Touch { hold: HoldId, sent: Time },
+    Watch,
+    Claim { shard: ShardId, hold: HoldId },
+    Release { shard: ShardId, claim: Revision },
+    LoadJobs { shard: ShardId, claim: Revision },
+    LoadMachines { shard: ShardId, claim: Revision },
+    Lookup(Box<users::Lookup>),
+    Accept { shard: ShardId, claim: Revision, record: Box<crate::bookkeeping::records::LiveRecord> },
+    Job { shard: ShardId, claim: Revision, job: JobId, work: ledger::JobWrite },
+    FindMachine { ask: AskId, report: Box<crate::protocol::workers::Report> },
+    Adopt { shard: ShardId, claim: Revision, ask: AskId, report: Box<crate::protocol::workers::Report> },
+    Forget { shard: ShardId, claim: Revision, machine: MachineId },
+    Move { shard: ShardId, claim: Revision, machine: MachineId, to: ShardId },
+    FetchMachine { shard: ShardId, claim: Revision },
+}
+
+/// Calls to the cloud and what to do with their answers.
+enum CloudWork {
+    Catalog,
+    List { so_far: Vec<crate::protocol::cloud::Listed> },
+    Rent { shard: ShardId, claim: Revision, request: String },
+    Delete { shard: ShardId, claim: Revision, machines: Vec<MachineId> },
+    Purge,
+}
+
+/// A request passed on to the node that can decide it.
+struct Forwarded {
+    ask: AskId,
+    until: Time,
+    job: JobId,
+}
+
+/// One controller.
+pub struct Controller {
+    cfg: Settings,
+    life: u64,
+    rng: SmallRng,
+    now: Time,
+    day_ms: u64,
+    started: Time,
+    out: Vec<Action>,
+    next_call: u64,
+    /// Counts attempts and rentals. Never starts over while the process lives, so that names led
+    /// by a claim's revision are unique even if two shards' claims follow one another.
+    counter: u64,
+    state_work: HashMap<CallNo, StateWork>,
+    cloud_work: HashMap<CallNo, CloudWork>,
+    worker_work: HashMap<CallNo, (ShardId, Revision, MachineId)>,
+
+    hold: Option<Hold>,
+    hold_call: bool,
+    last_touch: Time,
+    last_watch: Time,
+    watching: bool,
+    last_beat: Time,
+    last_probe: Time,
+    views: Vec<ShardView>,
+    shards: BTreeMap<ShardId, Shard>,
+    peers: BTreeMap<NodeLabel, PeerView>,
+
+    forwarded: HashMap<u64, Forwarded>,
+    accepting: HashMap<JobId, Vec<Asker>>,
+    ended: Ended,
+    job_homes: HashMap<JobId, ShardId>,
+    machine_homes: HashMap<MachineId, ShardId>,
+
+    requests: Budget,
+    writes: Budget,
+    cloud: fleet::Cloud,
+}
+
+/// The newest ended jobs; older ones are read from the state service.
+struct Ended {
+    jobs: HashMap<JobId, (Final, u32)>,
+    order: VecDeque<JobId>,
+    most: usize,
+}
+
+impl Ended {
+    fn insert(&mut self, job: JobId, state: Final, done: u32) {
+        if self.jobs.insert(job.clone(), (state, done)).is_none() {
+            self.order.push_back(job);
+        }
+        while self.order.len() > self.most {
+            if let Some(oldest) = self.order.pop_front() {
+                self.jobs.remove(&oldest);
+            }
+        }
+    }
+}
+
+/// How many entries the tables of where things are may have before they are started anew.
+const MOST_HOMES: usize = 20_000;
+const FORWARD_TIMEOUT: Span = Span::millis(1500);
+
+impl Controller {
+    pub fn new(cfg: Settings, seed: u64, clock: Clock) -> Controller {
+        let share = 1.0 / cfg.nodes.len() as f64;
+        let requests = Budget::new(cfg.state_rps * share, cfg.state_rps * share);
+        let writes = Budget::new(cfg.state_writes * share, cfg.state_writes * share);
+        Controller {
+            life: seed,
+            rng: SmallRng::seed_from_u64(seed),
+            now: clock.steady,
+            day_ms: clock.day_ms,
+            started: clock.steady,
+            out: Vec::new(),
+            next_call: 1,
+            counter: 0,
+            state_work: HashMap::new(),
+            cloud_work: HashMap::new(),
+            worker_work: HashMap::new(),
+            hold: None,
+            hold_call: false,
+            last_touch: Time::ZERO,
+            last_watch: Time::ZERO,
+            watching: false,
+            last_beat: Time::ZERO,
+            last_probe: Time::ZERO,
+            views: vec![ShardView::default(); cfg.shards as usize],
+            shards: BTreeMap::new(),
+            peers: BTreeMap::new(),
+            forwarded: HashMap::new(),
+            accepting: HashMap::new(),
+            ended: Ended { jobs: HashMap::new(), order: VecDeque::new(), most: cfg.own.ended_kept },
+            job_homes: HashMap::new(),
+            machine_homes: HashMap::new(),
+            requests,
+            writes,
+            cloud: fleet::Cloud::new(&cfg),
+            cfg,
+        }
+    }
+
+    /// Takes one event in and gives back what is to be done about it.
+    pub fn handle(&mut self, clock: Clock, event: Event) -> Vec<Action> {
+        self.now = clock.steady;
+        self.day_ms = clock.day_ms;
+        match event {
+            Event::Ask { id, ask } => self.asked(id, ask),
+            Event::State { call, answer } => {
+                if let Some(work) = self.state_work.remove(&call) {
+                    self.state_answered(work, answer);
+                }
+            }
+            Event::Cloud { call, answer } => {
+                if let Some(work) = self.cloud_work.remove(&call) {
+                    self.cloud_answered(work, answer);
+                }
+            }
+            Event::Worker { call, answer } => {
+                if let Some((shard, claim, machine)) = self.worker_work.remove(&call) {
+                    self.worker_answered(shard, claim, machine, answer);
+                }
+            }
+            Event::Peer(envelope) => self.peer_message(envelope),
+            Event::Tick => self.tick(),
+        }
+        std::mem::take(&mut self.out)
+    }
+
+    /// Whether what this node was given by the state service surely still stands.
+    fn entitled(&self) -> bool {
+        self.hold.as_ref().is_some_and(|hold| self.now < hold.right_until)
+    }
+
+    /// How long after the end of the right the workers' leases are still renewed. A takeover can
+    /// follow right on the end of the right, and a job can be cancelled right after that: its
+    /// tasks must be gone within `cancel` all the same. Their lease and the time a stop takes to
+    /// arrive have to fit in too.
+    fn grace(&self) -> Span {
+        self.cfg.cancel - self.cfg.lease.stretched() - Span::millis(5000)
+    }
+
+    fn may_renew(&self) -> bool {
+        self.hold.as_ref().is_some_and(|hold| self.now < hold.right_until + self.grace())
+    }
+
+    fn reply(&mut self, asker: Asker, reply: Reply) {
+        match asker {
+            Asker::Local(id) => self.out.push(Action::Reply { id, reply }),
+            Asker::Peer { node, number } => {
+                self.out.push(Action::Send { to: node, message: PeerMessage::Answer { number, reply } })
+            }
+        }
+    }
+
+    fn call_no(&mut self) -> CallNo {
+        self.next_call += 1;
+        CallNo(self.next_call)
+    }
+
+    fn call_state(&mut self, request: StateCall, work: StateWork) {
+        let call = self.call_no();
+        self.requests.force(self.now, 1.0);
+        self.writes.force(self.now, request.writes() as f64);
+        self.state_work.insert(call, work);
+        self.out.push(Action::State { call, request });
+    }
+
+    fn call_cloud(&mut self, request: CloudCall, work: CloudWork) {
+        let call = self.call_no();
+        self.cloud_work.insert(call, work);
+        self.out.push(Action::Cloud { call, request });
+    }
+
+    fn call_worker(&mut self, shard: ShardId, machine: &MachineId, addr: SocketAddrV4, request: WorkerCall) {
+        let Some(claim) = self.shards.get(&shard).map(|shard| shard.claim) else { return };
+        let call = self.call_no();
+        self.worker_work.insert(call, (shard, claim, machine.clone()));
+        self.out.push(Action::Worker { call, addr, request });
+    }
+
+    fn asked(&mut self, id: AskId, ask: Ask) {
+        match ask {
+            Ask::Fixed(reply) => self.reply(Asker::Local(id), reply),
+            Ask::Up => {
+                let reply = match self.useful() {
+                    true => Reply::json(200, &serde_json::json!({})),
+                    false => Reply::busy("not ready"),
+                };
+                self.reply(Asker::Local(id), reply);
+            }
+            Ask::Report(report) => self.reported(id, report),
+            Ask::Submit(Ok(spec)) => self.submit(Asker::Local(id), spec),
+            Ask::Submit(Err(bad)) => self.refuse(Asker::Local(id), bad),
+            Ask::Poll(job) => self.poll(Asker::Local(id), job),
+            Ask::Cancel(job) => self.cancel(Asker::Local(id), job),
+        }
+    }
+
+    /// Whether users are served well here. During an outage every node is equally bad, and
+    /// staying in the load balancer's list saves its pause afterwards; if others are entitled
+    /// and this one is not, users are better off with them.
+    fn useful(&self) -> bool {
+        let others = self
+            .peers
+            .values()
+            .any(|peer| peer.entitled && self.now.since(peer.seen) < Span::millis(1500));
+        self.cloud.catalog.is_some() && (self.entitled() || (self.hold.is_some() && !others))
+    }
+
+    fn state_answered(&mut self, work: StateWork, answer: Result<StateAnswer, CallError>) {
+        if let Err(CallError::Refused { over_limit: true }) = answer {
+            self.requests.exhausted(self.now);
+            self.writes.exhausted(self.now);
+        }
+        match work {
+            StateWork::Grant { sent } => self.granted(sent, answer),
+            StateWork::Touch { hold, sent } => self.touched(hold, sent, answer),
+            StateWork::Watch => self.watched(answer),
+            StateWork::Claim { shard, hold } => self.claimed(shard, hold, answer),
+            StateWork::Release { shard, claim } => self.released(shard, claim, answer),
+            StateWork::LoadJobs { shard, claim } => self.loaded_jobs(shard, claim, answer),
+            StateWork::LoadMachines { shard, claim } => self.loaded_machines(shard, claim, answer),
+            StateWork::Lookup(lookup) => self.looked_up(*lookup, answer),
+            StateWork::Accept { shard, claim, record } => self.accept_answered(shard, claim, *record, answer),
+            StateWork::Job { shard, claim, job, work } => self.job_written(shard, claim, job, work, answer),
+            StateWork::FindMachine { ask, report } => self.machine_found(ask, report, answer),
+            StateWork::Adopt { shard, claim, ask, report } => self.adopted(shard, claim, ask, report, answer),
+            StateWork::Forget { shard, claim, machine } => self.machine_forgotten(shard, claim, machine, answer),
+            StateWork::Move { shard, claim, machine, to } => self.moved(shard, claim, machine, to, answer),
+            StateWork::FetchMachine { shard, claim } => self.machine_arrived(shard, claim, answer),
+        }
+    }
+
+    fn peer_message(&mut self, envelope: Envelope) {
+        let Envelope { from, message } = envelope;
+        if !self.cfg.nodes.contains(&from) || from == self.cfg.label {
+            return;
+        }
+        match message {
+            PeerMessage::Beat { entitled, ready, held, rented, wanted } => {
+                self.beat_heard(from, entitled, ready, held, rented, wanted)
+            }
+            PeerMessage::Released { shard } => self.shard_released(shard),
+            PeerMessage::Moved { machine, shard } => self.machine_moved_in(machine, shard),
+            PeerMessage::Ask { number, shard, ask } => {
+                let asker = Asker::Peer { node: from, number };
+                if !self.shards.get(&shard).is_some_and(|shard| shard.active) || !self.entitled() {
+                    self.reply(asker, Reply::busy("not held here"));
+                    return;
+                }
+                match ask {
+                    PeerAsk::Submit(spec) => self.submit_here(asker, shard, *spec),
+                    PeerAsk::Poll(job) => self.poll_here(asker, shard, job),
+                    PeerAsk::Cancel(job) => self.cancel_here(asker, shard, job),
+                }
+            }
+            PeerMessage::Answer { number, reply } => {
+                if let Some(forwarded) = self.forwarded.remove(&number) {
+                    if reply.status == 404 {
+                        self.job_homes.remove(&forwarded.job);
+                    }
+                    self.reply(Asker::Local(forwarded.ask), reply);
+                }
+            }
+        }
+    }
+
+    fn tick(&mut self) {
+        self.members_tick();
+        let now = self.now;
+        let late: Vec<u64> =
+            self.forwarded.iter().filter(|(_, f)| f.until <= now).map(|(number, _)| *number).collect();
+        for number in late {
+            if let Some(forwarded) = self.forwarded.remove(&number) {
+                self.reply(Asker::Local(forwarded.ask), Reply::busy("the job's node does not answer"));
+            }
+        }
+        if self.job_homes.len() > MOST_HOMES {
+            self.job_homes.clear();
+        }
+        if self.machine_homes.len() > MOST_HOMES {
+            self.machine_homes.clear();
+        }
+        self.workers_tick();
+        self.ledger_tick();
+        self.fleet_tick();
+    }
+}
--- /dev/null
+++ b/src/coordination/shard.rs
@@ -0,0 +1,545 @@
+//! One shard in memory: its jobs, its machines, and what is running where.
+
+use super::AskId;
+use crate::bookkeeping::ranges::RangeSet;
+use crate::bookkeeping::records::{LiveRecord, MachineRecord};
+use crate::model::*;
+use crate::protocol::peers::MachineWish;
+use crate::protocol::workers::{Exit, Report, TaskState};
+use crate::time::{Span, Time};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::net::SocketAddrV4;
+
+pub(super) struct Job {
+    pub spec: JobSpec,
+    /// The version of its record.
+    pub version: Revision,
+    pub accepted_ms: u64,
+    /// Its place in the line.
+    pub order: (u64, JobId),
+    pub pending: RangeSet,
+    /// Tasks that a former holder may have started and that have not been found yet.
+    pub unlocated: RangeSet,
+    pub done: RangeSet,
+    /// The part of `done` that stands in the record.
+    pub recorded: RangeSet,
+    /// No task from this number on was ever started, by anybody; so it stands in the record.
+    pub untouched: u32,
+    pub running: HashMap<u32, (MachineId, AttemptNo)>,
+    /// A write of its record is on the way.
+    pub writing: bool,
+    /// What became of a write is not known; the record has to be read again.
+    pub unsure: bool,
+    /// Its user has asked to cancel it, or it is done: nothing is started any more.
+    pub ending: Option<Final>,
+    pub cancel_askers: Vec<super::Asker>,
+    pub last_write: Time,
+    /// Machines on which one of its tasks failed, newest last.
+    pub failed_on: Vec<(MachineId, Time)>,
+    pub failures: u32,
+    pub rest_until: Time,
+    /// Since when its first pending task has been passed over while others were started.
+    pub skipped_since: Option<Time>,
+    pub waiting_since: Time,
+    /// Run times seen, to judge the owner's estimate by.
+    pub ran: (f64, u32),
+}
+
+impl Job {
+    pub fn is_live(&self) -> bool {
+        self.ending.is_none() && !self.unsure
+    }
+
+    /// The run time to expect of a task: as seen so far if any was seen, else as estimated.
+    pub fn run_time(&self) -> f64 {
+        let (sum, count) = self.ran;
+        if count > 0 { (sum + self.spec.estimate_s) / (count as f64 + 1.0) } else { self.spec.estimate_s }.max(1.0)
+    }
+
+    /// Up to where the record should allow starts: ahead of the queue, so that nobody waits for
+    /// the record, but not far, since after a takeover all of that has to be looked for.
+    pub fn wants_untouched(&self) -> u32 {
+        match self.pending.first() {
+            Some(next) if next + LOOKAHEAD / 2 >= self.untouched => {
+                self.untouched.max((next + 2 * LOOKAHEAD).min(self.spec.tasks))
+            }
+            _ => self.untouched,
+        }
+    }
+
+    pub fn is_dirty(&self) -> bool {
+        self.done != self.recorded || self.wants_untouched() > self.untouched
+    }
+}
+
+/// How far ahead of the tasks started the record allows starts.
+pub(super) const LOOKAHEAD: u32 = 64;
+
+pub(super) struct Attempt {
+    pub task: TaskId,
+    pub team: Name,
+    pub needs: Resources,
+    pub state: Option<TaskState>,
+    /// The report in whose answer it was sent, or in which it was found.
+    pub sent_in: (Session, Seq),
+    pub sent: Time,
+    pub running_since: Option<Time>,
+    /// It is to be stopped, with that much time to save.
+    pub stop: Option<f64>,
+}
+
+impl Attempt {
+    pub fn is_over(&self) -> bool {
+        matches!(self.state, Some(TaskState::Exited(_)))
+    }
+}
+
+pub(super) struct Machine {
+    pub kind: Name,
+    pub zone: Name,
+    pub spot: bool,
+    pub addr: SocketAddrV4,
+    pub version: Revision,
+    pub token: Token,
+    pub last: (Session, Seq),
+    /// When a report of it was last answered with 200: its lease runs from no later than that.
+    pub answered: Option<Time>,
+    /// It has reported under the present token, or can't have had any task before.
+    pub proven: bool,
+    /// Unproven: by when a lease given by a former holder has surely run out.
+    pub proof_by: Time,
+    pub attempts: BTreeMap<AttemptNo, Attempt>,
+    pub notice: Option<Time>,
+    pub idle_since: Time,
+    pub seen: Time,
+    pub added: Time,
+    /// It gets no more tasks.
+    pub draining: bool,
+    /// Its deletion was asked for; from then on nothing is sent to it.
+    pub deleting: bool,
+    pub failed_jobs: BTreeSet<JobId>,
+    pub distrusted_until: Time,
+    /// Images it is thought to have, newest last.
+    pub images: Vec<(Name, f64)>,
+    pub probing: bool,
+    /// The cloud has listed it, so it can be given back.
+    pub listed: bool,
+}
+
+impl Machine {
+    /// Nothing that was ever started on it can still be there.
+    pub fn surely_dead(&self, now: Time, lease: Span) -> bool {
+        let end = self.answered.map_or(Time::ZERO, |at| at + lease.stretched() + Span::millis(500));
+        now > end && (self.proven || now > self.proof_by)
+    }
+
+    pub fn used(&self) -> Resources {
+        let live = self.attempts.values().filter(|attempt| !attempt.is_over());
+        live.fold(Resources::default(), |sum, attempt| sum.plus(&attempt.needs))
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.attempts.values().all(Attempt::is_over)
+    }
+
+    pub fn may_bind(&self, now: Time) -> bool {
+        self.proven && !self.draining && !self.deleting && self.notice.is_none() && now >= self.distrusted_until
+    }
+
+    pub fn has_image(&self, image: &Name) -> bool {
+        self.images.iter().any(|(name, _)| name == image)
+    }
+
+    /// Notes that it fetches an image; the oldest go when the cache is full.
+    pub fn note_image(&mut self, image: &Name, gb: f64, cache_gb: f64) {
+        self.images.retain(|(name, _)| name != image);
+        self.images.push((image.clone(), gb));
+        while self.images.len() > 1 && self.images.iter().map(|(_, gb)| gb).sum::<f64>() > cache_gb {
+            self.images.remove(0);
+        }
+    }
+}
+
+pub(super) struct Booting {
+    pub kind: Name,
+    pub zone: Name,
+    pub spot: bool,
+    pub since: Time,
+    pub deleting: bool,
+}
+
+pub(super) struct Shard {
+    pub id: ShardId,
+    pub claim: Revision,
+    pub claimed_at: Time,
+    pub active: bool,
+    pub retry_load: bool,
+    pub jobs: HashMap<JobId, Job>,
+    pub machines: BTreeMap<MachineId, Machine>,
+    pub booting: BTreeMap<MachineId, Booting>,
+    /// Rentals on the way, by request name.
+    pub renting: BTreeMap<String, super::fleet::Rental>,
+    /// Reports that came while it was loading.
+    pub early: Vec<(AskId, Box<Report>)>,
+    pub usage: HashMap<Name, Resources>,
+    pub wishes: Vec<MachineWish>,
+    /// Machines that the last count had no work for.
+    pub spare: HashSet<MachineId>,
+    pub deleting_until: Time,
+    /// Machines that are gone but whose record could not be removed yet.
+    pub leftovers: Vec<MachineId>,
+}
+
+/// What became of an attempt that is over.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub(super) enum Outcome {
+    Exited(Exit),
+    /// It never started, or it is gone with its machine or session.
+    Lost,
+}
+
+impl Shard {
+    pub fn new(id: ShardId, claim: Revision, now: Time) -> Shard {
+        Shard {
+            id,
+            claim,
+            claimed_at: now,
+            active: false,
+            retry_load: false,
+            jobs: HashMap::new(),
+            machines: BTreeMap::new(),
+            booting: BTreeMap::new(),
+            renting: BTreeMap::new(),
+            early: Vec::new(),
+            usage: HashMap::new(),
+            wishes: Vec::new(),
+            spare: HashSet::new(),
+            deleting_until: Time::ZERO,
+            leftovers: Vec::new(),
+        }
+    }
+
+    /// Takes a job in as its record has it.
+    pub fn load_job(&mut self, record: LiveRecord, version: Revision) {
+        let spec = record.job;
+        let done = RangeSet::parse(&record.done, spec.tasks).unwrap_or_default();
+        let untouched = record.untouched.min(spec.tasks);
+        let (mut pending, mut unlocated) = (RangeSet::new(), RangeSet::new());
+        for task in (0..spec.tasks).filter(|task| !done.contains(*task)) {
+            match task < untouched {
+                true => unlocated.insert(task),
+                false => pending.insert(task),
+            };
+        }
+        self.insert_job(spec, version, record.accepted_ms, untouched, pending, unlocated, done);
+    }
+
+    /// Takes in a job that this holder has just accepted: nothing of it has been started.
+    pub fn accept_job(&mut self, record: LiveRecord, version: Revision) {
+        let pending = RangeSet::up_to(record.job.tasks);
+        let (none, unlocated) = (RangeSet::new(), RangeSet::new());
+        self.insert_job(record.job, version, record.accepted_ms, record.untouched, pending, unlocated, none);
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn insert_job(
+        &mut self,
+        spec: JobSpec,
+        version: Revision,
+        accepted_ms: u64,
+        untouched: u32,
+        pending: RangeSet,
+        unlocated: RangeSet,
+        done: RangeSet,
+    ) {
+        let id = spec.id.clone();
+        let job = Job {
+            order: (accepted_ms, id.clone()),
+            spec,
+            version,
+            accepted_ms,
+            pending,
+            unlocated,
+            recorded: done.clone(),
+            done,
+            untouched,
+            running: HashMap::new(),
+            writing: false,
+            unsure: false,
+            ending: None,
+            cancel_askers: Vec::new(),
+            last_write: Time::ZERO,
+            failed_on: Vec::new(),
+            failures: 0,
+            rest_until: Time::ZERO,
+            skipped_since: None,
+            waiting_since: self.claimed_at,
+            ran: (0.0, 0),
+        };
+        self.jobs.insert(id, job);
+    }
+
+    pub fn load_machine(&mut self, id: MachineId, record: &MachineRecord, version: Revision, proof_by: Time) {
+        let Ok(addr) = record.addr.parse() else { return };
+        let now = self.claimed_at;
+        let mut machine = Machine::new(record, addr, version, self.claim, now);
+        machine.proof_by = proof_by;
+        self.machines.insert(id, machine);
+    }
+
+    /// Takes in a machine whose record was written under this claim.
+    pub fn add_machine(&mut self, id: MachineId, record: &MachineRecord, addr: SocketAddrV4, version: Revision, now: Time) {
+        let mut machine = Machine::new(record, addr, version, self.claim, now);
+        machine.proven = true;
+        self.booting.remove(&id);
+        self.machines.insert(id, machine);
+    }
+
+    pub fn all_proven(&self, now: Time, lease: Span) -> bool {
+        self.machines.values().all(|machine| machine.proven || machine.surely_dead(now, lease))
+    }
+
+    /// Once no machine is left on which a former holder's attempt could be running, the tasks
+    /// that were not found anywhere may be started.
+    pub fn settle_unlocated(&mut self) {
+        if self.machines.values().any(|machine| !machine.proven) {
+            return;
+        }
+        for job in self.jobs.values_mut() {
+            let found = std::mem::take(&mut job.unlocated);
+            for task in found.iter() {
+                job.pending.insert(task);
+            }
+        }
+    }
+
+    pub fn team_usage(&self, team: &Name, types: &HashMap<Name, MachineType>) -> Resources {
+        let located = self.usage.get(team).copied().unwrap_or_default();
+        // Attempts that have not been found count as running, but no more of them than the
+        // machines that have not answered can hold.
+        let mut hidden = Resources::default();
+        for job in self.jobs.values().filter(|job| job.spec.team == *team) {
+            let count = job.unlocated.len() as u64;
+            if count > 0 {
+                let needs = job.spec.needs;
+                hidden = hidden.plus(&Resources {
+                    cpus: Amount(needs.cpus.0 * count),
+                    gpus: Amount(needs.gpus.0 * count),
+                    memory: Amount(needs.memory.0 * count),
+                });
+            }
+        }
+        if hidden == Resources::default() {
+            return located;
+        }
+        let mut most = Resources::default();
+        for machine in self.machines.values().filter(|machine| !machine.proven) {
+            match types.get(&machine.kind) {
+                Some(kind) => most = most.plus(&kind.room),
+                None => return located.plus(&hidden),
+            }
+        }
+        located.plus(&Resources {
+            cpus: hidden.cpus.min(most.cpus),
+            gpus: hidden.gpus.min(most.gpus),
+            memory: hidden.memory.min(most.memory),
+        })
+    }
+
+    /// Puts an attempt on a machine, in memory.
+    pub fn place(&mut self, machine: &MachineId, no: AttemptNo, attempt: Attempt) {
+        if !attempt.is_over() {
+            let usage = self.usage.entry(attempt.team.clone()).or_default();
+            *usage = usage.plus(&attempt.needs);
+        }
+        if let Some(job) = self.jobs.get_mut(&attempt.task.job)
+            && attempt.stop.is_none()
+        {
+            let task = attempt.task.task.0;
+            job.pending.remove(task);
+            job.unlocated.remove(task);
+            job.running.insert(task, (machine.clone(), no));
+        }
+        if let Some(machine) = self.machines.get_mut(machine) {
+            machine.attempts.insert(no, attempt);
+        }
+    }
+
+    /// Books that an attempt no longer runs: its room and quota are free, its task is done or
+    /// goes back to the queue.
+    pub fn finish(&mut self, machine_id: &MachineId, no: AttemptNo, outcome: Outcome, now: Time) {
+        let Some(machine) = self.machines.get_mut(machine_id) else { return };
+        let Some(attempt) = machine.attempts.get(&no) else { return };
+        let task = attempt.task.clone();
+        let ran = attempt.running_since.map(|since| now.since(since).as_secs());
+        if let Some(usage) = self.usage.get_mut(&attempt.team) {
+            *usage = usage.minus(&attempt.needs);
+        }
+        if machine.attempts.values().filter(|other| !other.is_over()).count() <= 1 {
+            machine.idle_since = now;
+        }
+        match outcome {
+            Outcome::Exited(Exit::Error) => {
+                machine.failed_jobs.insert(task.job.clone());
+            }
+            Outcome::Exited(Exit::Done) => machine.failed_jobs.clear(),
+            _ => {}
+        }
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        if job.running.get(&task.task.0).is_none_or(|(_, current)| *current != no) {
+            // Not the task's present attempt, but completed is completed.
+            if outcome == Outcome::Exited(Exit::Done) && job.spec.kind == JobKind::Array {
+                Shard::complete(job, task.task.0);
+            }
+            return;
+        }
+        job.running.remove(&task.task.0);
+        if outcome == Outcome::Exited(Exit::Done) {
+            Shard::complete(job, task.task.0);
+            if let Some(seconds) = ran {
+                job.ran = (job.ran.0 + seconds, job.ran.1 + 1);
+            }
+            job.failures = 0;
+            return;
+        }
+        if job.pending.is_empty() {
+            job.waiting_since = now;
+        }
+        job.pending.insert(task.task.0);
+        if matches!(outcome, Outcome::Exited(Exit::Error | Exit::Unknown)) {
+            // A job that fails everywhere must not go round all machines again and again, and a
+            // faulty machine must not get the same job's tasks again and again.
+            job.failed_on.retain(|(id, _)| id != machine_id);
+            job.failed_on.push((machine_id.clone(), now));
+            if job.failed_on.len() > 16 {
+                job.failed_on.remove(0);
+            }
+            job.failures += 1;
+            if job.failed_on.len() > 1 || outcome == Outcome::Exited(Exit::Unknown) {
+                let pause = Span::millis(500).times(f64::from(1u32 << job.failures.min(7)));
+                job.rest_until = now + pause;
+            }
+        }
+    }
+
+    fn complete(job: &mut Job, task: u32) {
+        job.done.insert(task);
+        job.pending.remove(task);
+        job.unlocated.remove(task);
+    }
+
+    /// Takes away what is known to be gone from a machine.
+    pub fn lose(&mut self, machine_id: &MachineId, gone: impl Fn(AttemptNo, &Attempt) -> bool, now: Time) {
+        let Some(machine) = self.machines.get(machine_id) else { return };
+        let lost: Vec<(AttemptNo, bool)> = machine
+            .attempts
+            .iter()
+            .filter(|(no, attempt)| gone(**no, attempt))
+            .map(|(no, attempt)| (*no, attempt.is_over()))
+            .collect();
+        for (no, over) in lost {
+            if !over {
+                self.finish(machine_id, no, Outcome::Lost, now);
+            }
+            if let Some(machine) = self.machines.get_mut(machine_id) {
+                machine.attempts.remove(&no);
+            }
+        }
+    }
+
+    /// Reads a newer report of a proven machine into the books.
+    pub fn read_report(&mut self, report: &Report, now: Time) {
+        let id = &report.machine;
+        for told in &report.tasks {
+            let Some(machine) = self.machines.get_mut(id) else { return };
+            let over = matches!(told.state, TaskState::Exited(_));
+            match machine.attempts.get_mut(&told.attempt) {
+                Some(attempt) => {
+                    let was_over = attempt.is_over();
+                    if told.state == TaskState::Running && attempt.running_since.is_none() {
+                        attempt.running_since = Some(now);
+                    }
+                    if !was_over && let TaskState::Exited(exit) = told.state {
+                        self.finish(id, told.attempt, Outcome::Exited(exit), now);
+                    }
+                    if let Some(attempt) = self.machines.get_mut(id).and_then(|m| m.attempts.get_mut(&told.attempt))
+                        && !was_over
+                    {
+                        attempt.state = Some(told.state);
+                    }
+                }
+                None => self.found(report, told, over, now),
+            }
+        }
+        let seen: HashSet<AttemptNo> = report.tasks.iter().map(|task| task.attempt).collect();
+        let this = (report.session, report.seq);
+        // One that was sent in answer to this report or a later one may still be on its way.
+        self.lose(id, |no, attempt| !seen.contains(&no) && attempt.sent_in < this, now);
+    }
+
+    /// An attempt that this holder did not start: a former holder's, or one of a job that ended.
+    fn found(&mut self, report: &Report, told: &crate::protocol::workers::TaskReport, over: bool, now: Time) {
+        let task = told.task.task.0;
+        let job = self.jobs.get(&told.task.job).filter(|job| task < job.spec.tasks);
+        let wanted = job.is_some_and(|job| !job.done.contains(task) && !job.running.contains_key(&task));
+        let (team, needs) = match job {
+            Some(job) => (job.spec.team.clone(), job.spec.needs),
+            // Nothing is known of what it takes, so the machine counts as full until it is gone.
+            None => (Name::new(""), Resources { cpus: Amount(u64::MAX / 4), ..Resources::default() }),
+        };
+        let attempt = Attempt {
+            task: told.task.clone(),
+            team,
+            needs,
+            state: Some(told.state),
+            sent_in: (report.session, report.seq),
+            sent: now,
+            running_since: (told.state == TaskState::Running).then_some(now),
+            stop: (!wanted && !over).then_some(0.0),
+        };
+        let TaskState::Exited(exit) = told.state else {
+            self.place(&report.machine, told.attempt, attempt);
+            return;
+        };
+        if wanted {
+            // Booked as running for a moment, so that its end is booked like any other.
+            self.place(&report.machine, told.attempt, Attempt { state: None, ..attempt });
+            self.finish(&report.machine, told.attempt, Outcome::Exited(exit), now);
+        } else if let Some(machine) = self.machines.get_mut(&report.machine) {
+            machine.attempts.insert(told.attempt, attempt);
+        }
+        let machine = self.machines.get_mut(&report.machine);
+        if let Some(attempt) = machine.and_then(|m| m.attempts.get_mut(&told.attempt)) {
+            attempt.state = Some(told.state);
+        }
+    }
+}
+
+impl Machine {
+    fn new(record: &MachineRecord, addr: SocketAddrV4, version: Revision, claim: Revision, now: Time) -> Machine {
+        Machine {
+            kind: record.kind.clone(),
+            zone: record.zone.clone(),
+            spot: record.spot,
+            addr,
+            version,
+            token: Token(claim.0.max(version.0)),
+            last: (Session(0), Seq(0)),
+            answered: None,
+            proven: false,
+            proof_by: Time::ZERO,
+            attempts: BTreeMap::new(),
+            notice: None,
+            idle_since: now,
+            seen: now,
+            added: now,
+            draining: false,
+            deleting: false,
+            failed_jobs: BTreeSet::new(),
+            distrusted_until: Time::ZERO,
+            images: Vec::new(),
+            probing: false,
+            listed: false,
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/users.rs
@@ -0,0 +1,382 @@
+//! Submitting, asking and cancelling.
+
+use super::members::to_value;
+use super::shard::Job;
+use super::*;
+use crate::bookkeeping::records::{self, EndRecord, LiveRecord};
+use crate::protocol::state::Change;
+use crate::protocol::users::{BadJob, JobState, JobView};
+
+/// A look into the records for a job that is not in memory here.
+pub(super) struct Lookup {
+    asker: Asker,
+    job: JobId,
+    then: Then,
+    /// `live` was not there; now `end` is read. In that order a job that ends meanwhile is seen.
+    at_end: bool,
+}
+
+enum Then {
+    Poll,
+    Cancel,
+    /// A submission that can't be taken, unless it is the retry of an accepted one.
+    Refuse(Reply),
+    /// A submission whose job is recorded already.
+    Known,
+}
+
+/// The tasks of a new job that may be started before its record is written again.
+const FIRST_STARTS: u32 = super::shard::LOOKAHEAD;
+
+pub(super) fn view(id: &JobId, state: JobState, done: u32, running: u32) -> Reply {
+    Reply::json(200, &JobView { id: id.as_str(), state, done, running })
+}
+
+fn final_view(id: &JobId, state: Final, done: u32) -> Reply {
+    let state = match state {
+        Final::Done => JobState::Done,
+        Final::Cancelled => JobState::Cancelled,
+    };
+    view(id, state, done, 0)
+}
+
+fn live_view(job: &Job) -> Reply {
+    // While a record of its end is on the way, another node may have read that already.
+    if !job.is_live() {
+        return Reply::busy("its record is being written");
+    }
+    let running = job.running.len() as u32;
+    let state = if running > 0 { JobState::Running } else { JobState::Queued };
+    view(&job.spec.id, state, job.done.len(), running)
+}
+
+impl Controller {
+    /// The shard among those held here that has the job in memory.
+    fn shard_with(&self, job: &JobId) -> Option<ShardId> {
+        self.shards.values().find(|shard| shard.active && shard.jobs.contains_key(job)).map(|shard| shard.id)
+    }
+
+    fn look_up(&mut self, asker: Asker, job: JobId, then: Then) {
+        // Reads for users must not eat up what leases and records need.
+        if !self.requests.take(self.now, 0.0) {
+            return self.reply(asker, Reply::busy("too many questions"));
+        }
+        let request = StateCall::Get(records::live_key(&job));
+        let lookup = Lookup { asker, job, then, at_end: false };
+        self.call_state(request, StateWork::Lookup(Box::new(lookup)));
+    }
+
+    pub(super) fn looked_up(&mut self, lookup: Lookup, answer: Result<StateAnswer, CallError>) {
+        let Lookup { asker, job, then, at_end } = lookup;
+        match answer {
+            Ok(StateAnswer::Found(entry)) if at_end => {
+                let Ok(end) = serde_json::from_value::<EndRecord>(entry.value) else {
+                    return self.reply(asker, Reply::busy("its record can't be read"));
+                };
+                self.ended.insert(job.clone(), end.state, end.done);
+                self.reply(asker, final_view(&job, end.state, end.done));
+            }
+            Ok(StateAnswer::Found(entry)) => {
+                let Ok(record) = serde_json::from_value::<LiveRecord>(entry.value) else {
+                    return self.reply(asker, Reply::busy("its record can't be read"));
+                };
+                self.job_homes.insert(job.clone(), record.shard);
+                self.found_live(asker, record, entry.version, then);
+            }
+            Ok(StateAnswer::Missing) if !at_end => {
+                let request = StateCall::Get(records::end_key(&job));
+                let lookup = Lookup { asker, job, then, at_end: true };
+                self.call_state(request, StateWork::Lookup(Box::new(lookup)));
+            }
+            Ok(StateAnswer::Missing) => {
+                self.job_homes.remove(&job);
+                let reply = match then {
+                    Then::Refuse(reply) => reply,
+                    Then::Known => Reply::busy("try again"),
+                    Then::Poll | Then::Cancel => Reply::error(404, "no such job"),
+                };
+                self.reply(asker, reply);
+            }
+            _ => self.reply(asker, Reply::busy("state not reachable")),
+        }
+    }
+
+    /// The record of a job that was not in memory says that it is live.
+    fn found_live(&mut self, asker: Asker, record: LiveRecord, version: Revision, then: Then) {
+        let (id, shard_id) = (record.job.id.clone(), record.shard);
+        if let Some((state, done)) = self.ended.jobs.get(&id).copied() {
+            // It has ended since the record was read.
+            return self.reply(asker, final_view(&id, state, done));
+        }
+        let entitled = self.entitled();
+        if let Some(shard) = self.shards.get_mut(&shard_id).filter(|shard| shard.active && entitled) {
+            if !shard.jobs.contains_key(&id) {
+                // Written under this claim, or it would have been loaded: an acceptance whose
+                // answer was lost. So nothing of it has been started.
+                log::info!("job {id} found in the records");
+                shard.accept_job(record, version);
+            }
+            return match then {
+                Then::Cancel => self.cancel_here(asker, shard_id, id),
+                _ => self.poll_here(asker, shard_id, id),
+            };
+        }
+        match then {
+            Then::Cancel => self.pass_on(asker, shard_id, id.clone(), PeerAsk::Cancel(id)),
+            _ => {
+                let done = crate::bookkeeping::ranges::RangeSet::parse(&record.done, record.job.tasks);
+                let done = done.map_or(0, |done| done.len());
+                let state = if done > 0 { JobState::Running } else { JobState::Queued };
+                self.reply(asker, view(&id, state, done, 0));
+            }
+        }
+    }
+
+    /// Lets the shard's holder answer.
+    fn pass_on(&mut self, asker: Asker, shard: ShardId, job: JobId, ask: PeerAsk) {
+        let Asker::Local(id) = asker else {
+            return self.reply(asker, Reply::busy("not held here"));
+        };
+        match self.live_holder(shard) {
+            Some(to) => {
+                self.next_call += 1;
+                let number = self.next_call;
+                let until = self.now + FORWARD_TIMEOUT;
+                self.forwarded.insert(number, Forwarded { ask: id, until, job });
+                self.out.push(Action::Send { to, message: PeerMessage::Ask { number, shard, ask } });
+            }
+            None => self.reply(asker, Reply::busy("its shard is changing hands")),
+        }
+    }
+
+    /// The other node that holds a shard, if it was heard of lately.
+    fn live_holder(&self, shard: ShardId) -> Option<NodeLabel> {
+        let holder = self.holder_of(shard)?;
+        let peer = self.peers.get(holder)?;
+        (self.now.since(peer.seen) < Span::millis(1500)).then(|| holder.clone())
+    }
+
+    pub(super) fn poll(&mut self, asker: Asker, job: JobId) {
+        if let Some((state, done)) = self.ended.jobs.get(&job).copied() {
+            return self.reply(asker, final_view(&job, state, done));
+        }
+        if let Some(shard) = self.shard_with(&job) {
+            return self.poll_here(asker, shard, job);
+        }
+        match self.job_homes.get(&job).copied() {
+            Some(shard) if !self.shards.contains_key(&shard) && self.live_holder(shard).is_some() => {
+                self.pass_on(asker, shard, job.clone(), PeerAsk::Poll(job))
+            }
+            _ => self.look_up(asker, job, Then::Poll),
+        }
+    }
+
+    pub(super) fn poll_here(&mut self, asker: Asker, shard: ShardId, job: JobId) {
+        if let Some((state, done)) = self.ended.jobs.get(&job).copied() {
+            return self.reply(asker, final_view(&job, state, done));
+        }
+        if !self.entitled() {
+            return self.reply(asker, Reply::busy("no fresh state"));
+        }
+        match self.shards.get(&shard).and_then(|shard| shard.jobs.get(&job)) {
+            Some(job) => self.reply(asker, live_view(job)),
+            None => self.look_up(asker, job, Then::Poll),
+        }
+    }
+
+    pub(super) fn cancel(&mut self, asker: Asker, job: JobId) {
+        if let Some((state, done)) = self.ended.jobs.get(&job).copied() {
+            return self.reply(asker, final_view(&job, state, done));
+        }
+        if let Some(shard) = self.shard_with(&job) {
+            return self.cancel_here(asker, shard, job);
+        }
+        match self.job_homes.get(&job).copied() {
+            Some(shard) if !self.shards.contains_key(&shard) => {
+                self.pass_on(asker, shard, job.clone(), PeerAsk::Cancel(job))
+            }
+            _ => self.look_up(asker, job, Then::Cancel),
+        }
+    }
+
+    pub(super) fn cancel_here(&mut self, asker: Asker, shard_id: ShardId, id: JobId) {
+        if let Some((state, done)) = self.ended.jobs.get(&id).copied() {
+            return self.reply(asker, final_view(&id, state, done));
+        }
+        if !self.entitled() {
+            return self.reply(asker, Reply::busy("no right to"));
+        }
+        let Some(shard) = self.shards.get_mut(&shard_id) else {
+            return self.reply(asker, Reply::busy("not held here"));
+        };
+        let Some(job) = shard.jobs.get_mut(&id) else { return self.look_up(asker, id, Then::Cancel) };
+        job.cancel_askers.push(asker);
+        if job.ending.is_none() {
+            job.ending = Some(Final::Cancelled);
+        }
+        self.write_end(shard_id, &id);
+    }
+
+    /// A submission that is not valid.
+    pub(super) fn refuse(&mut self, asker: Asker, bad: BadJob) {
+        let reply = Reply::error(400, &bad.why);
+        match bad.id {
+            Some(id) => self.known_or(asker, id, reply),
+            None => self.reply(asker, reply),
+        }
+    }
+
+    /// Refuses a submission for good, unless its job was accepted before.
+    fn known_or(&mut self, asker: Asker, id: JobId, refusal: Reply) {
+        if let Some((state, done)) = self.ended.jobs.get(&id).copied() {
+            return self.reply(asker, final_view(&id, state, done));
+        }
+        match self.shard_with(&id) {
+            Some(shard) => self.poll_here(asker, shard, id),
+            None => self.look_up(asker, id, Then::Refuse(refusal)),
+        }
+    }
+
+    pub(super) fn submit(&mut self, asker: Asker, spec: JobSpec) {
+        let id = spec.id.clone();
+        if let Some((state, done)) = self.ended.jobs.get(&id).copied() {
+            return self.reply(asker, final_view(&id, state, done));
+        }
+        if let Some(shard) = self.shard_with(&id) {
+            return self.poll_here(asker, shard, id);
+        }
+        if self.cloud.catalog.is_none() {
+            return self.reply(asker, Reply::busy("machine types not known yet"));
+        }
+        if let Err(why) = self.can_ever_run(&spec) {
+            return self.known_or(asker, id, Reply::error(422, why));
+        }
+        match self.shard_for(&spec) {
+            Some(shard) if self.shards.contains_key(&shard) => self.submit_here(asker, shard, spec),
+            Some(shard) => {
+                self.job_homes.insert(id.clone(), shard);
+                self.pass_on(asker, shard, id, PeerAsk::Submit(Box::new(spec)))
+            }
+            None => self.reply(asker, Reply::busy("no shard to put it in")),
+        }
+    }
+
+    fn can_ever_run(&self, spec: &JobSpec) -> Result<(), &'static str> {
+        let Some(limits) = self.cfg.teams.get(&spec.team) else { return Err("unknown team") };
+        let types = self.cloud.catalog.iter().flatten();
+        let fits = |kind: &MachineType| {
+            spec.allows_type(&kind.name)
+                && spec.needs.fits_in(&kind.room)
+                && spec.zone.as_ref().is_none_or(|zone| kind.zones.contains(zone))
+        };
+        if !types.into_iter().any(fits) {
+            return Err("fits no allowed machine type");
+        }
+        let count = if spec.kind == JobKind::Service { u64::from(spec.tasks) } else { 1 };
+        let over = |need: Amount, most: Option<Amount>| most.is_some_and(|most| need.0 * count > most.0);
+        if over(spec.needs.cpus, limits.cpus_max) || over(spec.needs.gpus, limits.gpus_max) {
+            return Err("needs more than the team's limit");
+        }
+        Ok(())
+    }
+
+    /// A limited team's jobs all go to one shard, so that its quota is kept in one place. Other
+    /// jobs belong to whoever takes them: the shard held here with the fewest jobs.
+    fn shard_for(&self, spec: &JobSpec) -> Option<ShardId> {
+        if self.cfg.teams.get(&spec.team).is_some_and(|limits| limits.is_limited()) {
+            let place = self.cfg.teams.keys().position(|team| *team == spec.team)?;
+            return Some(ShardId(place as u32 % self.cfg.shards));
+        }
+        let own = self.shards.values().filter(|shard| shard.active).min_by_key(|shard| shard.jobs.len());
+        own.map(|shard| shard.id).or_else(|| {
+            (0..self.cfg.shards).map(ShardId).find(|shard| self.live_holder(*shard).is_some())
+        })
+    }
+
+    pub(super) fn submit_here(&mut self, asker: Asker, shard_id: ShardId, spec: JobSpec) {
+        let id = spec.id.clone();
+        if let Some((state, done)) = self.ended.jobs.get(&id).copied() {
+            return self.reply(asker, final_view(&id, state, done));
+        }
+        let entitled = self.entitled();
+        let Some(shard) = self.shards.get(&shard_id).filter(|shard| shard.active && entitled) else {
+            return self.reply(asker, Reply::busy("the shard is not ready"));
+        };
+        if let Some(job) = shard.jobs.get(&id) {
+            let reply = live_view(job);
+            return self.reply(asker, reply);
+        }
+        if let Some(askers) = self.accepting.get_mut(&id) {
+            askers.push(asker);
+            return;
+        }
+        let claim = shard.claim;
+        let record = LiveRecord {
+            shard: shard_id,
+            accepted_ms: self.day_ms,
+            done: String::new(),
+            untouched: spec.tasks.min(FIRST_STARTS),
+            job: spec,
+        };
+        let value = to_value(&record);
+        if value.to_string().len() > self.cfg.value_bytes {
+            return self.reply(asker, Reply::error(400, "larger than can be recorded"));
+        }
+        let key = records::live_key(&id);
+        let request = StateCall::Commit {
+            conditions: vec![
+                (records::shard_key(shard_id), claim),
+                (key.clone(), Revision(0)),
+                (records::end_key(&id), Revision(0)),
+            ],
+            changes: vec![Change::Put { key, value, hold: None }],
+        };
+        self.accepting.insert(id, vec![asker]);
+        let record = Box::new(record);
+        self.call_state(request, StateWork::Accept { shard: shard_id, claim, record });
+    }
+
+    pub(super) fn accept_answered(
+        &mut self,
+        shard_id: ShardId,
+        claim: Revision,
+        record: LiveRecord,
+        answer: Result<StateAnswer, CallError>,
+    ) {
+        let id = record.job.id.clone();
+        let askers = self.accepting.remove(&id).unwrap_or_default();
+        match answer {
+            Ok(StateAnswer::Committed(version)) => {
+                if let Some(shard) = self.shard_under(shard_id, claim)
+                    && !shard.jobs.contains_key(&id)
+                {
+                    shard.accept_job(record, version);
+                }
+                // Durable, whoever holds the shard by now.
+                let reply = Reply { status: 201, ..view(&id, JobState::Queued, 0, 0) };
+                for asker in askers {
+                    self.reply(asker, reply.clone());
+                }
+            }
+            Ok(StateAnswer::Conflict(failed)) if failed.contains(&records::shard_key(shard_id)) => {
+                if self.shard_under(shard_id, claim).is_some() {
+                    self.drop_shard(shard_id, "the claim is another's");
+                }
+                for asker in askers {
+                    self.reply(asker, Reply::busy("the shard is changing hands"));
+                }
+            }
+            Ok(StateAnswer::Conflict(_)) => {
+                for asker in askers {
+                    self.look_up(asker, id.clone(), Then::Known);
+                }
+            }
+            // It may be recorded or not; the retry finds out.
+            _ => {
+                for asker in askers {
+                    self.reply(asker, Reply::busy("state not reachable"));
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/workers.rs
@@ -0,0 +1,363 @@
+//! Workers' reports: who may answer them, and what the answer says.
+
+use super::binding::Market;
+use super::shard::Attempt;
+use super::*;
+use crate::bookkeeping::records::{self, MachineRecord};
+use crate::protocol::state::Change;
+use crate::protocol::workers::{self, Command, Report};
+
+/// How long reports are kept for a shard that is being loaded. Workers wait for 4 s.
+const EARLY_WAIT: Span = Span::millis(2000);
+
+impl Controller {
+    pub(super) fn reported(&mut self, ask: AskId, report: Box<Report>) {
+        let id = report.machine.clone();
+        let held = self.shards.values().find(|shard| shard.machines.contains_key(&id)).map(|s| s.id);
+        if let Some(shard) = held {
+            return self.serve_report(ask, shard, report);
+        }
+        let known = self.machine_homes.get(&id).copied();
+        let booting = self.shards.values().find(|shard| shard.booting.contains_key(&id)).map(|s| s.id);
+        let shard = match (booting, known) {
+            (Some(shard), _) | (None, Some(shard)) => shard,
+            (None, None) => {
+                // Perhaps recorded by another node; the state service knows.
+                if !self.requests.take(self.now, 0.0) {
+                    return self.reply(Asker::Local(ask), Reply::busy("busy"));
+                }
+                let request = StateCall::Get(records::machine_key(&id));
+                return self.call_state(request, StateWork::FindMachine { ask, report });
+            }
+        };
+        match self.shards.get_mut(&shard) {
+            Some(mine) if !mine.active => mine.early.push((ask, report)),
+            Some(_) => self.adopt(ask, shard, report),
+            None => self.send_elsewhere(ask, shard),
+        }
+    }
+
+    fn send_elsewhere(&mut self, ask: AskId, shard: ShardId) {
+        let node = self.holder_of(shard).filter(|node| **node != self.cfg.label);
+        let reply = workers::elsewhere(node.map(|node| node.as_str()));
+        self.reply(Asker::Local(ask), reply);
+    }
+
+    pub(super) fn machine_found(&mut self, ask: AskId, report: Box<Report>, answer: Result<StateAnswer, CallError>) {
+        let shard = match answer {
+            Ok(StateAnswer::Found(entry)) => match serde_json::from_value::<MachineRecord>(entry.value) {
+                Ok(record) => record.shard,
+                Err(_) => return self.reply(Asker::Local(ask), Reply::busy("its record can't be read")),
+            },
+            // Rented by nobody who is left, or one of the operators' own: all nodes agree by its
+            // number where it belongs.
+            Ok(StateAnswer::Missing) => self.default_shard(&report.machine),
+            _ => return self.reply(Asker::Local(ask), Reply::busy("state not reachable")),
+        };
+        self.machine_homes.entry(report.machine.clone()).or_insert(shard);
+        let held = self.shards.get(&shard).is_some_and(|s| s.machines.contains_key(&report.machine));
+        match self.shards.get(&shard) {
+            // Recorded as this shard's, but its holder did not load it: it came by a move.
+            Some(mine) if mine.active && !held => self.adopt(ask, shard, report),
+            Some(_) => self.reported(ask, report),
+            None => self.send_elsewhere(ask, shard),
+        }
+    }
+
+    pub(super) fn default_shard(&self, machine: &MachineId) -> ShardId {
+        let digits: String = machine.as_str().chars().filter(char::is_ascii_digit).collect();
+        let number = digits.bytes().fold(0u64, |n, b| n.wrapping_mul(10).wrapping_add(u64::from(b - b'0')));
+        ShardId((number % u64::from(self.cfg.shards)) as u32)
+    }
+
+    /// Records a machine as this shard's. Only then may its reports be answered with 200.
+    fn adopt(&mut self, ask: AskId, shard: ShardId, report: Box<Report>) {
+        let under_way = self.state_work.values().any(
+            |work| matches!(work, StateWork::Adopt { report: other, .. } if other.machine == report.machine),
+        );
+        let claim = match self.shards.get(&shard) {
+            Some(shard) if !under_way => shard.claim,
+            _ => return self.reply(Asker::Local(ask), Reply::busy("being recorded")),
+        };
+        if !self.entitled() {
+            return self.reply(Asker::Local(ask), Reply::busy("no right to"));
+        }
+        let record = MachineRecord {
+            shard,
+            kind: report.kind.clone(),
+            zone: report.zone.clone(),
+            spot: report.spot,
+            addr: report.addr.to_string(),
+        };
+        let key = records::machine_key(&report.machine);
+        let request = StateCall::Commit {
+            conditions: vec![(records::shard_key(shard), claim), (key.clone(), Revision(0))],
+            changes: vec![Change::Put { key, value: super::members::to_value(&record), hold: None }],
+        };
+        self.call_state(request, StateWork::Adopt { shard, claim, ask, report });
+    }
+
+    pub(super) fn adopted(
+        &mut self,
+        shard: ShardId,
+        claim: Revision,
+        ask: AskId,
+        report: Box<Report>,
+        answer: Result<StateAnswer, CallError>,
+    ) {
+        let now = self.now;
+        let Some(mine) = self.shard_under(shard, claim) else {
+            return self.reply(Asker::Local(ask), Reply::busy("changing hands"));
+        };
+        match answer {
+            Ok(StateAnswer::Committed(version)) => {
+                let record = MachineRecord {
+                    shard,
+                    kind: report.kind.clone(),
+                    zone: report.zone.clone(),
+                    spot: report.spot,
+                    addr: report.addr.to_string(),
+                };
+                log::info!("machine {} ({}, {}) joins shard {shard}", report.machine, record.kind, record.zone);
+                mine.add_machine(report.machine.clone(), &record, report.addr, version, now);
+                self.machine_homes.insert(report.machine.clone(), shard);
+                self.reported(ask, report);
+            }
+            Ok(StateAnswer::Conflict(failed)) if failed.contains(&records::shard_key(shard)) => {
+                self.drop_shard(shard, "the claim is another's");
+                self.reply(Asker::Local(ask), Reply::busy("changing hands"));
+            }
+            Ok(StateAnswer::Conflict(_)) => {
+                // Recorded before: by another shard, by a lost answer of ours, or by a move. Read
+                // it, so that its holder is found.
+                self.machine_homes.remove(&report.machine);
+                let request = StateCall::Get(records::machine_key(&report.machine));
+                self.call_state(request, StateWork::FetchMachine { shard, claim });
+                self.reply(Asker::Local(ask), Reply::busy("recorded before"));
+            }
+            _ => self.reply(Asker::Local(ask), Reply::busy("state not reachable")),
+        }
+    }
+
+    /// Reads in a machine whose record names a shard of ours.
+    pub(super) fn machine_arrived(&mut self, shard: ShardId, claim: Revision, answer: Result<StateAnswer, CallError>) {
+        let proof_by = self.now + self.grace() + self.cfg.lease.stretched() + Span::millis(500);
+        let Ok(StateAnswer::Found(entry)) = answer else { return };
+        let id = MachineId::new(entry.key.strip_prefix(records::MACHINES).unwrap_or_default());
+        let Ok(record) = serde_json::from_value::<MachineRecord>(entry.value) else { return };
+        self.machine_homes.insert(id.clone(), record.shard);
+        let Some(mine) = self.shard_under(shard, claim) else { return };
+        if record.shard == shard && !mine.machines.contains_key(&id) {
+            mine.booting.remove(&id);
+            mine.load_machine(id, &record, entry.version, proof_by);
+        }
+    }
+
+    fn serve_report(&mut self, ask: AskId, shard_id: ShardId, report: Box<Report>) {
+        let now = self.now;
+        let (entitled, may_renew, lease) = (self.entitled(), self.may_renew(), self.cfg.lease);
+        let Some(shard) = self.shards.get_mut(&shard_id) else { return };
+        if !shard.active {
+            shard.early.push((ask, report));
+            return;
+        }
+        let Some(machine) = shard.machines.get_mut(&report.machine) else { return };
+        if report.token > machine.token || !may_renew || machine.deleting {
+            // Somebody has a newer claim, or this node has none any more. A 200 would only keep
+            // the worker here while its lease runs out.
+            let reply = match machine.deleting {
+                true => Reply::busy("being given back"),
+                false => workers::elsewhere(None),
+            };
+            return self.reply(Asker::Local(ask), reply);
+        }
+        let this = (report.session, report.seq);
+        if this <= machine.last {
+            // Late, or a second time: what it says is older than what is known.
+            return self.reply(Asker::Local(ask), Reply::busy("an older report"));
+        }
+        let fresh = machine.proven && machine.answered.is_none() && machine.attempts.is_empty();
+        machine.last = this;
+        machine.seen = now;
+        machine.addr = report.addr;
+        machine.answered = Some(now);
+        machine.notice = report.notice.map(|left| now + left);
+        let token = machine.token;
+        // Only a report sent after the present token reached the worker tells what a former
+        // holder's commands have come to: an older one may have been on its way when they were
+        // sent. A machine that was never answered before can't have got any.
+        if report.token < token && !fresh {
+            return self.reply(Asker::Local(ask), workers::accepted(token, &[]));
+        }
+        if !machine.proven {
+            machine.proven = true;
+            machine.idle_since = now;
+        }
+        shard.read_report(&report, now);
+        shard.settle_unlocated();
+        let _ = lease;
+        let commands = self.commands_for(shard_id, &report.machine, entitled);
+        self.reply(Asker::Local(ask), workers::accepted(token, &commands));
+        self.finish_jobs(shard_id);
+    }
+
+    /// Everything a machine is to be told now.
+    fn commands_for(&mut self, shard_id: ShardId, id: &MachineId, entitled: bool) -> Vec<Command> {
+        let mut commands = Vec::new();
+        let now = self.now;
+        let market = Market { cfg: &self.cfg, types: &self.cloud.types, now };
+        let Some(shard) = self.shards.get_mut(&shard_id) else { return commands };
+        shard.plan_drain(id, &market);
+        if let Some(machine) = shard.machines.get(id) {
+            machine.tidy(&shard.jobs, &mut commands, workers::MOST_COMMANDS);
+        }
+        // Without the right nothing is started; stopping what has ended does no harm.
+        if entitled {
+            let most = workers::MOST_COMMANDS.saturating_sub(commands.len());
+            commands.extend(shard.bind(id, &mut self.counter, most, &market));
+        }
+        commands
+    }
+
+    /// Asks machines that a former holder had straight away, rather than waiting for them to
+    /// find this node: the answer comes under the new token.
+    pub(super) fn probe_machines(&mut self, shard_id: ShardId) {
+        let Some(shard) = self.shards.get_mut(&shard_id) else { return };
+        let mut calls = Vec::new();
+        for (id, machine) in &mut shard.machines {
+            if !machine.proven && !machine.probing && !machine.deleting {
+                machine.probing = true;
+                let session = if machine.last.0.0 == 0 { Session(1) } else { machine.last.0 };
+                calls.push((id.clone(), machine.addr, machine.token, session));
+            }
+        }
+        for (id, addr, token, session) in calls {
+            let request = WorkerCall { token, session, commands: Vec::new() };
+            self.call_worker(shard_id, &id, addr, request);
+        }
+    }
+
+    pub(super) fn worker_answered(
+        &mut self,
+        shard_id: ShardId,
+        claim: Revision,
+        id: MachineId,
+        answer: Result<WorkerAnswer, CallError>,
+    ) {
+        let now = self.now;
+        let entitled = self.entitled();
+        let Some(shard) = self.shard_under(shard_id, claim) else { return };
+        let Some(machine) = shard.machines.get_mut(&id) else { return };
+        machine.probing = false;
+        let (report, executed) = match answer {
+            Ok(WorkerAnswer::Executed(report)) => (report, true),
+            Ok(WorkerAnswer::Rejected(report)) => (report, false),
+            Err(_) => return,
+        };
+        if report.machine != id {
+            return;
+        }
+        if machine.proven || !entitled {
+            return;
+        }
+        let this = (report.session, report.seq);
+        if this <= machine.last {
+            return;
+        }
+        if executed && report.token >= machine.token {
+            // Under the new token, so no former holder's command comes after it; and this holder
+            // has sent none yet, so nothing can be missing from it that may still start.
+            machine.last = this;
+            machine.seen = now;
+            machine.proven = true;
+            machine.proof_by = machine.proof_by.max(now);
+            // Its lease was given by whoever answered last: until it reports here it may live on.
+            machine.answered = Some(machine.answered.map_or(now, |at| at.max(now)));
+            shard.read_report(&report, now);
+            shard.settle_unlocated();
+            self.finish_jobs(shard_id);
+        } else if report.token <= machine.token && report.session != Session(0) {
+            // The session was another: once more with the right one.
+            machine.last.0 = report.session;
+            machine.last.1 = Seq(0);
+            let (addr, token) = (machine.addr, machine.token);
+            machine.probing = true;
+            let request = WorkerCall { token, session: report.session, commands: Vec::new() };
+            self.call_worker(shard_id, &id, addr, request);
+        }
+    }
+
+    pub(super) fn workers_tick(&mut self) {
+        let now = self.now;
+        let lease = self.cfg.lease;
+        let may_renew = self.may_renew();
+        self.retry_loads();
+        let ids: Vec<ShardId> = self.shards.keys().copied().collect();
+        for id in ids {
+            let Some(shard) = self.shards.get_mut(&id) else { continue };
+            if !shard.active {
+                if now.since(shard.claimed_at) > EARLY_WAIT {
+                    let early = std::mem::take(&mut shard.early);
+                    for (ask, _) in early {
+                        self.reply(Asker::Local(ask), Reply::busy("being loaded"));
+                    }
+                }
+                continue;
+            }
+            let dead: Vec<MachineId> = shard
+                .machines
+                .iter()
+                .filter(|(_, machine)| {
+                    (!machine.proven || !machine.attempts.is_empty()) && machine.surely_dead(now, lease)
+                })
+                .map(|(id, _)| id.clone())
+                .collect();
+            for machine_id in &dead {
+                log::warn!("machine {machine_id}: its lease has run out");
+                shard.lose(machine_id, |_, _| true, now);
+                if let Some(machine) = shard.machines.get_mut(machine_id) {
+                    machine.proven = true;
+                }
+            }
+            shard.settle_unlocated();
+            if !may_renew {
+                continue;
+            }
+            if now.0 / 1_000_000 != self.last_probe.0 / 1_000_000 {
+                self.probe_machines(id);
+            }
+        }
+        self.last_probe = now;
+    }
+}
+
+impl super::shard::Shard {
+    /// Stops what should not go down with a machine that is about to be taken.
+    fn plan_drain(&mut self, id: &MachineId, market: &Market) {
+        let Some(machine) = self.machines.get_mut(id) else { return };
+        let Some(gone_at) = machine.notice else { return };
+        let left = gone_at.since(market.now).as_secs();
+        for attempt in machine.attempts.values_mut().filter(|a| !a.is_over() && a.stop.is_none()) {
+            let Some(job) = self.jobs.get(&attempt.task.job) else { continue };
+            let grace = drain_grace(job, attempt, left, market);
+            if let Some(grace) = grace {
+                attempt.stop = Some(grace);
+            }
+        }
+    }
+}
+
+/// Whether to stop a task whose machine goes in `left` seconds, and how long it may save.
+fn drain_grace(job: &super::shard::Job, attempt: &Attempt, left: f64, market: &Market) -> Option<f64> {
+    if job.spec.kind == JobKind::Service {
+        // A replacement is wanted at once; what it does meanwhile can't be kept.
+        return Some(if job.spec.checkpoint_s > 0.0 { job.spec.save_s } else { 0.0 });
+    }
+    let ran = attempt.running_since.map_or(0.0, |since| market.now.since(since).as_secs());
+    if job.spec.checkpoint_s <= 0.0 || job.run_time() - ran < left - job.spec.save_s {
+        // It may complete in time, and stopping it saves nothing.
+        return None;
+    }
+    let spare = 2.0 * market.cfg.report.as_secs() + 1.0;
+    (left < job.spec.save_s + spare).then_some(job.spec.save_s)
+}
--- /dev/null
+++ b/src/protocol/peers.rs
@@ -0,0 +1,66 @@
+//! What the controllers tell one another. Written in CBOR, one message a frame.
+
+use super::Reply;
+use crate::model::{JobId, JobSpec, MachineId, Name, NodeLabel, Revision, ShardId};
+use serde::{Deserialize, Serialize};
+
+/// A frame on a connection between controllers.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Envelope {
+    pub from: NodeLabel,
+    pub message: PeerMessage,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum PeerMessage {
+    /// Sent at short intervals: a sign of life and what may be done for this node.
+    Beat {
+        /// It has a valid right from the state service just now.
+        entitled: bool,
+        /// It can hold a shard: it has its start behind it.
+        ready: bool,
+        /// The shards it holds and their claims.
+        held: Vec<(ShardId, Revision)>,
+        /// Machines of those shards that were rented and have not been recorded yet.
+        rented: Vec<(MachineId, ShardId)>,
+        /// Machines that those shards could use, and what their tasks need.
+        wanted: Vec<MachineWish>,
+    },
+    /// A user's request that another node's shard must decide.
+    Ask { number: u64, shard: ShardId, ask: PeerAsk },
+    Answer { number: u64, reply: Reply },
+    /// A shard was let go; its home node may claim it at once.
+    Released { shard: ShardId },
+    /// A machine was handed to a shard.
+    Moved { machine: MachineId, shard: ShardId },
+}
+
+/// A shard has work for machines of this type and can't get them soon.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct MachineWish {
+    pub shard: ShardId,
+    pub kind: Name,
+    pub spot: bool,
+    pub count: u32,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum PeerAsk {
+    Submit(Box<JobSpec>),
+    Poll(JobId),
+    Cancel(JobId),
+}
+
+pub fn encode(envelope: &Envelope) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    // Writing to a vector does not fail, and neither do these types.
+    if ciborium::into_writer(envelope, &mut bytes).is_err() {
+        bytes.clear();
+    }
+    bytes
+}
+
+/// Nothing for whatever is not a message.
+pub fn decode(bytes: &[u8]) -> Option<Envelope> {
+    ciborium::de::from_reader_with_recursion_limit(bytes, 16).ok()
+}
--- /dev/null
+++ b/src/protocol/users.rs
@@ -0,0 +1,210 @@
+//! Users: submitting, asking and cancelling.
+
+use super::Reply;
+use crate::model::{Amount, JobId, JobKind, JobSpec, Name, Priority, Resources};
+use serde::{Deserialize, Serialize};
+
+/// What a request of a user or a worker asks for.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Ask {
+    Submit(Result<JobSpec, BadJob>),
+    Poll(JobId),
+    Cancel(JobId),
+    Up,
+    Report(Box<super::workers::Report>),
+    /// Answered without a look at any state.
+    Fixed(Reply),
+}
+
+/// A submission that is not valid. Its id is there if that much could be read: an accepted job's
+/// retry must be answered with the job's state however it is worded.
+#[derive(Clone, Debug, PartialEq)]
+pub struct BadJob {
+    pub id: Option<JobId>,
+    pub why: String,
+}
+
+const ID_PREFIX: &str = "wk-";
+const MOST_TASKS: u32 = 100_000;
+
+/// An id of the agreed form.
+pub fn parse_job_id(text: &str) -> Option<JobId> {
+    let digits = text.strip_prefix(ID_PREFIX)?;
+    let fine = !digits.is_empty() && digits.len() <= 32 && digits.bytes().all(|b| b.is_ascii_digit());
+    fine.then(|| JobId::new(text))
+}
+
+#[derive(Deserialize)]
+struct Submission {
+    brood: String,
+    flock: String,
+    gait: Kind,
+    pecking: Pecking,
+    clutch: u32,
+    cores: f64,
+    gpus: f64,
+    ram_gb: f64,
+    breeds: Option<Vec<String>>,
+    roost: Option<String>,
+    #[serde(rename = "together")]
+    one_zone: bool,
+    spread: bool,
+    #[serde(rename = "scavenged")]
+    spot: bool,
+    #[serde(rename = "plumage")]
+    image: String,
+    image_gb: f64,
+    flight_s: f64,
+    cache_s: f64,
+    stash_s: f64,
+    dusk_s: Option<f64>,
+}
+
+#[derive(Deserialize)]
+enum Kind {
+    #[serde(rename = "sweep")]
+    Array,
+    #[serde(rename = "daemon")]
+    Service,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum Pecking {
+    Production,
+    High,
+    Normal,
+    BestEffort,
+}
+
+fn parse_submission(body: &[u8]) -> Result<JobSpec, BadJob> {
+    let nameless = |why: &str| BadJob { id: None, why: why.into() };
+    let value: serde_json::Value =
+        serde_json::from_slice(body).map_err(|error| nameless(&format!("not JSON: {error}")))?;
+    let object = value.as_object().ok_or_else(|| nameless("not an object"))?;
+    let id = object
+        .get("id")
+        .and_then(|id| id.as_str())
+        .and_then(parse_job_id)
+        .ok_or_else(|| nameless("id: missing or not of the form"))?;
+    let bad = |why: String| BadJob { id: Some(id.clone()), why };
+    let job: Submission =
+        Submission::deserialize(&value).map_err(|error| bad(error.to_string()))?;
+    for (name, amount) in [
+        ("cores", Some(job.cores)),
+        ("gpus", Some(job.gpus)),
+        ("ram_gb", Some(job.ram_gb)),
+        ("image_gb", Some(job.image_gb)),
+        ("flight_s", Some(job.flight_s)),
+        ("cache_s", Some(job.cache_s)),
+        ("stash_s", Some(job.stash_s)),
+        ("dusk_s", job.dusk_s),
+    ] {
+        if amount.is_some_and(|n| !(n.is_finite() && (0.0..=1e9).contains(&n))) {
+            return Err(bad(format!("{name}: not an amount")));
+        }
+    }
+    if job.cores <= 0.0 {
+        return Err(bad("cores: a task needs some".into()));
+    }
+    if job.clutch == 0 || job.clutch > MOST_TASKS {
+        return Err(bad(format!("clutch: not from 1 to {MOST_TASKS}")));
+    }
+    let texts = [&job.brood, &job.flock, &job.image];
+    if texts.iter().any(|text| text.is_empty() || text.len() > 200) {
+        return Err(bad("a name is empty or longer than 200 bytes".into()));
+    }
+    let places = job.breeds.iter().flatten().chain(&job.roost);
+    if places.clone().any(|text| text.is_empty() || text.len() > 200) || places.count() > 64 {
+        return Err(bad("breeds, roost: a name is empty or too long, or there are too many".into()));
+    }
+    Ok(JobSpec {
+        id: id.clone(),
+        class: Name::new(&job.brood),
+        team: Name::new(&job.flock),
+        kind: match job.gait {
+            Kind::Array => JobKind::Array,
+            Kind::Service => JobKind::Service,
+        },
+        priority: match job.pecking {
+            Pecking::Production => Priority::Production,
+            Pecking::High => Priority::High,
+            Pecking::Normal => Priority::Normal,
+            Pecking::BestEffort => Priority::BestEffort,
+        },
+        tasks: job.clutch,
+        needs: Resources {
+            cpus: Amount::new(job.cores),
+            gpus: Amount::new(job.gpus),
+            memory: Amount::new(job.ram_gb),
+        },
+        image: Name::new(&job.image),
+        image_gb: job.image_gb,
+        types: job.breeds.map(|types| types.iter().map(|name| Name::new(name)).collect()),
+        zone: job.roost.map(|zone| Name::new(&zone)),
+        one_zone: job.one_zone,
+        spread: job.spread,
+        spot: job.spot,
+        estimate_s: job.flight_s,
+        checkpoint_s: job.cache_s,
+        save_s: job.stash_s,
+        deadline_s: job.dusk_s,
+    })
+}
+
+/// Reads a request that came in at the front.
+pub fn parse(method: &str, path: &str, body: &[u8]) -> Ask {
+    let path = path.split('?').next().unwrap_or_default();
+    let wrong_method = |allowed| match method == allowed {
+        true => None,
+        false => Some(Ask::Fixed(Reply::error(405, "method not allowed"))),
+    };
+    let unknown = || Ask::Fixed(Reply::error(404, "not found"));
+    if path == "/hello" {
+        return wrong_method("POST").unwrap_or_else(|| match super::workers::parse_report(body) {
+            Some(report) => Ask::Report(Box::new(report)),
+            None => Ask::Fixed(Reply::error(400, "not a report")),
+        });
+    }
+    if path == "/up" {
+        return wrong_method("GET").unwrap_or(Ask::Up);
+    }
+    if path == "/v1/jobs" {
+        return wrong_method("POST").unwrap_or_else(|| Ask::Submit(parse_submission(body)));
+    }
+    let Some(rest) = path.strip_prefix("/v1/jobs/") else { return unknown() };
+    let (id, allowed) = match rest.strip_suffix("/cancel") {
+        Some(id) => (id, "POST"),
+        None => (rest, "GET"),
+    };
+    if id.contains('/') {
+        return unknown();
+    }
+    wrong_method(allowed).unwrap_or_else(|| match parse_job_id(id) {
+        Some(id) if allowed == "POST" => Ask::Cancel(id),
+        Some(id) => Ask::Poll(id),
+        None => unknown(),
+    })
+}
+
+/// What a user may be told of a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum JobState {
+    #[serde(rename = "pending")]
+    Queued,
+    #[serde(rename = "running")]
+    Running,
+    #[serde(rename = "done")]
+    Done,
+    #[serde(rename = "withdrawn")]
+    Cancelled,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct JobView<'a> {
+    pub id: &'a str,
+    #[serde(rename = "mood")]
+    pub state: JobState,
+    pub done: u32,
+    pub running: u32,
+}
--- /dev/null
+++ b/src/protocol/workers.rs
@@ -0,0 +1,204 @@
+//! Workers: their reports, and the commands they are given.
+
+use super::{CallError, Outgoing, Reply, from_json};
+use crate::model::{AttemptNo, MachineId, Name, Seq, Session, TaskId, Token};
+use crate::time::Span;
+use serde::{Deserialize, Serialize, Serializer};
+use std::net::SocketAddrV4;
+
+#[derive(Deserialize)]
+struct WireReport {
+    perch: String,
+    endpoint: SocketAddrV4,
+    breed: String,
+    roost: String,
+    #[serde(default)]
+    scavenged: bool,
+    #[serde(rename = "sitting")]
+    session: u64,
+    #[serde(rename = "caw")]
+    seq: u64,
+    #[serde(rename = "crest", default)]
+    token: u64,
+    #[serde(rename = "shoo_s")]
+    notice_s: Option<f64>,
+    #[serde(default)]
+    clutch: Vec<WireTask>,
+}
+
+#[derive(Deserialize)]
+struct WireTask {
+    egg: String,
+    hatch: u64,
+    mood: Mood,
+    cause: Option<String>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum Mood {
+    Pulling,
+    Running,
+    Saving,
+    Ended,
+    #[serde(other)]
+    Other,
+}
+
+/// What a worker says of itself.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Report {
+    pub machine: MachineId,
+    pub addr: SocketAddrV4,
+    pub kind: Name,
+    pub zone: Name,
+    pub spot: bool,
+    pub session: Session,
+    pub seq: Seq,
+    pub token: Token,
+    pub notice: Option<Span>,
+    pub tasks: Vec<TaskReport>,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct TaskReport {
+    pub task: TaskId,
+    pub attempt: AttemptNo,
+    pub state: TaskState,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TaskState {
+    Fetching,
+    Running,
+    Saving,
+    Exited(Exit),
+}
+
+/// Why a task ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Exit {
+    Done,
+    Stopped,
+    Error,
+    /// The start was refused for want of room.
+    NoRoom,
+    /// The start was refused: another attempt of the task is there.
+    Busy,
+    /// The start was refused: the worker can't find the job.
+    Unknown,
+}
+
+pub fn parse_report(body: &[u8]) -> Option<Report> {
+    let wire: WireReport = serde_json::from_slice(body).ok()?;
+    if wire.perch.is_empty() || wire.perch.len() > 100 || wire.perch.contains([' ', '/']) {
+        return None;
+    }
+    let tasks = wire.clutch.iter().map(|task| {
+        let state = match task.mood {
+            Mood::Pulling => TaskState::Fetching,
+            // Whatever else a task may be doing, it is on the machine.
+            Mood::Running | Mood::Other => TaskState::Running,
+            Mood::Saving => TaskState::Saving,
+            Mood::Ended => TaskState::Exited(match task.cause.as_deref() {
+                Some("done") => Exit::Done,
+                Some("halted") => Exit::Stopped,
+                Some("no_room") => Exit::NoRoom,
+                Some("busy") => Exit::Busy,
+                Some("no_such") => Exit::Unknown,
+                _ => Exit::Error,
+            }),
+        };
+        let id = TaskId::parse(&task.egg)?;
+        Some(TaskReport { task: id, attempt: AttemptNo(task.hatch), state })
+    });
+    Some(Report {
+        machine: MachineId::new(&wire.perch),
+        addr: wire.endpoint,
+        kind: Name::new(&wire.breed),
+        zone: Name::new(&wire.roost),
+        spot: wire.scavenged,
+        session: Session(wire.session),
+        seq: Seq(wire.seq),
+        token: Token(wire.token),
+        notice: wire.notice_s.filter(|s| s.is_finite()).map(Span::secs),
+        tasks: tasks.collect::<Option<Vec<_>>>()?,
+    })
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize)]
+#[serde(tag = "call", rename_all = "lowercase")]
+pub enum Command {
+    Run {
+        #[serde(rename = "egg", serialize_with = "as_text")]
+        task: TaskId,
+        #[serde(rename = "hatch")]
+        attempt: AttemptNo,
+    },
+    Stop {
+        #[serde(rename = "egg", serialize_with = "as_text")]
+        task: TaskId,
+        #[serde(rename = "hatch")]
+        attempt: AttemptNo,
+        #[serde(rename = "settle_s")]
+        grace_s: f64,
+    },
+    Forget {
+        #[serde(rename = "egg", serialize_with = "as_text")]
+        task: TaskId,
+        #[serde(rename = "hatch")]
+        attempt: AttemptNo,
+    },
+}
+
+fn as_text<S: Serializer>(task: &TaskId, serializer: S) -> Result<S::Ok, S::Error> {
+    serializer.collect_str(task)
+}
+
+/// The most commands that one answer carries: it must stay well under 64 KiB.
+pub const MOST_COMMANDS: usize = 400;
+
+pub fn accepted(token: Token, commands: &[Command]) -> Reply {
+    Reply::json(200, &serde_json::json!({ "crest": token, "calls": commands }))
+}
+
+/// "Report elsewhere", and where to if that is known.
+pub fn elsewhere(node: Option<&str>) -> Reply {
+    match node {
+        Some(label) => Reply::json(421, &serde_json::json!({ "rookery": label })),
+        None => Reply::json(421, &serde_json::json!({})),
+    }
+}
+
+/// Commands sent straight to a worker. Never a `run`: they may be executed minutes late.
+#[derive(Clone, Debug, PartialEq)]
+pub struct WorkerCall {
+    pub token: Token,
+    pub session: Session,
+    pub commands: Vec<Command>,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum WorkerAnswer {
+    Executed(Box<Report>),
+    /// The token or the session did not match.
+    Rejected(Box<Report>),
+}
+
+impl WorkerCall {
+    pub fn request(&self) -> Outgoing {
+        Outgoing::post(
+            "/commands",
+            &serde_json::json!({ "crest": self.token, "sitting": self.session, "calls": self.commands }),
+        )
+    }
+
+    pub fn answer(status: u16, body: &[u8]) -> Result<WorkerAnswer, CallError> {
+        let report = || parse_report(body).map(Box::new).ok_or(CallError::Odd(status));
+        match status {
+            200 => Ok(WorkerAnswer::Executed(report()?)),
+            409 => Ok(WorkerAnswer::Rejected(report()?)),
+            _ => from_json::<()>(status, b"").and(Err(CallError::Odd(status))),
+        }
+    }
+}
