--- a/src/config.rs
+++ b/src/config.rs
@@ -217,8 +217,7 @@
     /// Reads both files; the properties may be absent.
     pub fn load(path: &Path, properties: Option<&Path>) -> Result<Settings, ConfigError> {
         let read = |path: &Path| {
-            std::fs::read_to_string(path)
-                .map_err(|error| ConfigError(format!("{}: {error}", path.display())))
+            std::fs::read_to_string(path).map_err(|error| ConfigError(format!("{}: {error}", path.display())))
         };
         let own = properties.map(read).transpose()?;
         Settings::parse(&read(path)?, own.as_deref())
@@ -261,8 +260,7 @@
         if facts.machine_limits.max_sockets < 32 {
             return Err(ConfigError("facts.machine_limits.max_sockets: less than 32".into()));
         }
-        let mut nodes: Vec<NodeLabel> =
-            file.peers.iter().map(|peer| NodeLabel::new(&peer.label)).collect();
+        let mut nodes: Vec<NodeLabel> = file.peers.iter().map(|peer| NodeLabel::new(&peer.label)).collect();
         let label = NodeLabel::new(&file.label);
         nodes.push(label.clone());
         nodes.sort();
@@ -272,16 +270,11 @@
         let me = NodeIx(nodes.iter().position(|node| *node == label).unwrap_or(0) as u32);
         let mut teams = BTreeMap::new();
         for team in &facts.teams {
-            for (field, value) in [
-                ("cpus", team.cpus),
-                ("cpus_max", team.cpus_max),
-                ("gpus", team.gpus),
-                ("gpus_max", team.gpus_max),
-            ] {
+            for (field, value) in
+                [("cpus", team.cpus), ("cpus_max", team.cpus_max), ("gpus", team.gpus), ("gpus_max", team.gpus_max)]
+            {
                 if !(value.is_finite() && value >= 0.0) {
-                    return Err(ConfigError(format!(
-                        "facts.teams.{field}: {value} is not a number from 0 on"
-                    )));
+                    return Err(ConfigError(format!("facts.teams.{field}: {value} is not a number from 0 on")));
                 }
             }
             let cap = |value: f64| (value > 0.0).then(|| Amount::new(value));
@@ -313,8 +306,8 @@
         let cancel = Span::secs(facts.workers.cancel_s);
         let mut own = Properties::defaults(lease);
         if let Some(text) = properties {
-            let table = java_properties::read(text.as_bytes())
-                .map_err(|error| ConfigError(format!("properties: {error}")))?;
+            let table =
+                java_properties::read(text.as_bytes()).map_err(|error| ConfigError(format!("properties: {error}")))?;
             let mut sorted: Vec<_> = table.into_iter().collect();
             sorted.sort();
             for (key, value) in sorted {
@@ -328,11 +321,7 @@
             peer_bind: file.peer_bind,
             nodes,
             me,
-            peers: file
-                .peers
-                .iter()
-                .map(|peer| (NodeLabel::new(&peer.label), peer.peer_addr))
-                .collect(),
+            peers: file.peers.iter().map(|peer| (NodeLabel::new(&peer.label), peer.peer_addr)).collect(),
             cloud_addr: file.services.cloud,
             state_addr: file.services.state,
             shards: facts.size,
--- a/src/coordination/binding.rs
+++ b/src/coordination/binding.rs
@@ -64,8 +64,7 @@
     pub fn quota_allows(&self, job: &Job, usage: &Resources, cfg: &Settings) -> bool {
         let Some(limits) = cfg.teams.get(&job.spec.team) else { return false };
         let after = usage.plus(&job.spec.needs);
-        limits.cpus_max.is_none_or(|most| after.cpus <= most)
-            && limits.gpus_max.is_none_or(|most| after.gpus <= most)
+        limits.cpus_max.is_none_or(|most| after.cpus <= most) && limits.gpus_max.is_none_or(|most| after.gpus <= most)
     }
 
     /// The jobs with something to start, from the queue's front.
@@ -76,9 +75,7 @@
             .values()
             .filter(|job| job.next_task(market.now).is_some())
             .map(|job| {
-                let used = usage
-                    .entry(&job.spec.team)
-                    .or_insert_with(|| self.team_usage(&job.spec.team, market.types));
+                let used = usage.entry(&job.spec.team).or_insert_with(|| self.team_usage(&job.spec.team, market.types));
                 let within = market.cfg.teams.get(&job.spec.team).is_some_and(|limits| {
                     let after = used.plus(&job.spec.needs);
                     after.cpus <= limits.cpus && after.gpus <= limits.gpus.max(Amount(0))
@@ -106,8 +103,7 @@
         let (zone, spot, sent_in) = (machine.zone.clone(), machine.spot, machine.last);
         let mut passed_over: Vec<JobId> = Vec::new();
         for (_, job_id) in self.queue(market) {
-            loop {
-                let Some(job) = self.jobs.get(&job_id) else { break };
+            while let Some(job) = self.jobs.get(&job_id) {
                 let Some(task) = job.next_task(now).filter(|_| commands.len() < most) else { break };
                 if !job.allows(&kind.name, &zone, spot) || job.avoids(id, now) {
                     break;
@@ -138,10 +134,10 @@
                     needs: job.spec.needs,
                     state: None,
                     sent_in,
-                    sent: now,
                     running_since: None,
                     stop: None,
                 };
+                log::debug!("task {task} attempt {no} goes to {id}");
                 self.place(id, no, attempt);
                 if let Some(machine) = self.machines.get_mut(id) {
                     machine.note_image(&image, image_gb, kind.cache_gb);
@@ -176,9 +172,9 @@
             let task = attempt.task.clone();
             if attempt.is_over() {
                 // A result may only be forgotten once the record has it.
-                let kept = jobs.get(&task.job).is_some_and(|job| {
-                    job.done.contains(task.task.0) && !job.recorded.contains(task.task.0)
-                });
+                let kept = jobs
+                    .get(&task.job)
+                    .is_some_and(|job| job.done.contains(task.task.0) && !job.recorded.contains(task.task.0));
                 if !kept {
                     commands.push(Command::Forget { task, attempt: *no });
                 }
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -3,9 +3,9 @@
 
 use super::shard::{Booting, Shard};
 use super::*;
-use crate::bookkeeping::records;
+use crate::bookkeeping::records::{self, MachineRecord};
 use crate::protocol::cloud::{Listed, MOST_DELETED, MOST_RENTED, MachineState};
-use crate::protocol::peers::MachineWish;
+use crate::protocol::peers::Offer;
 use crate::protocol::state::Change;
 
 const CATALOG_AGE: Span = Span::millis(60_000);
@@ -34,7 +34,6 @@
     pub listed: HashMap<MachineId, Listed>,
     listed_at: Time,
     list_call: bool,
-    /// How many lists in a row a machine was missing from.
     budget: Budget,
     refused: HashMap<(Name, Name, bool), (Time, u32)>,
     planned_at: Time,
@@ -111,6 +110,7 @@
         let ids: Vec<ShardId> = self.shards.values().filter(|s| s.active).map(|s| s.id).collect();
         for id in &ids {
             self.delete_machines(*id);
+            self.retry_moves(*id);
             self.ask_rentals(*id);
         }
         if self.cloud.catalog.is_some() && now.since(self.cloud.planned_at) >= PLAN_PAUSE {
@@ -171,9 +171,7 @@
                     let after = listed.last().map(|machine| machine.id.clone());
                     so_far.extend(listed);
                     match after {
-                        Some(_) if more => {
-                            self.call_cloud(CloudCall::List { after }, CloudWork::List { so_far })
-                        }
+                        Some(_) if more => self.call_cloud(CloudCall::List { after }, CloudWork::List { so_far }),
                         _ => {
                             self.cloud.list_call = false;
                             self.machines_listed(so_far);
@@ -222,7 +220,12 @@
             }
             Ok(CloudAnswer::NoCapacity) => {
                 let Some(rental) = mine.renting.remove(&request) else { return };
-                log::info!("no {} to be had in {}{}", rental.kind, rental.zone, if rental.spot { ", spot" } else { "" });
+                log::info!(
+                    "no {} to be had in {}{}",
+                    rental.kind,
+                    rental.zone,
+                    if rental.spot { ", spot" } else { "" }
+                );
                 self.cloud.refuse(&rental, now);
                 self.cloud.planned_at = Time::ZERO;
             }
@@ -252,7 +255,13 @@
         self.call_cloud(CloudCall::Delete(names), work);
     }
 
-    fn deleted(&mut self, id: ShardId, claim: Revision, machines: Vec<MachineId>, answer: Result<CloudAnswer, CallError>) {
+    fn deleted(
+        &mut self,
+        id: ShardId,
+        claim: Revision,
+        machines: Vec<MachineId>,
+        answer: Result<CloudAnswer, CallError>,
+    ) {
         let now = self.now;
         let Some(shard) = self.shards.get_mut(&id).filter(|shard| shard.claim == claim) else { return };
         shard.deleting_until = match answer {
@@ -373,6 +382,8 @@
     /// Compares what the shard's work needs with the machines it has, and rents what is missing.
     fn plan(&mut self, id: ShardId) {
         let now = self.now;
+        let Some(shard) = self.shards.get_mut(&id) else { return };
+        shard.taking.retain(|_, (_, since)| now.since(*since) < Span::millis(3000));
         let Some(shard) = self.shards.get(&id) else { return };
         let demands = self.demands(shard);
         let mut bins = self.bins(shard);
@@ -384,17 +395,16 @@
             }
         }
         let mut rentals = Vec::new();
-        let mut wishes = Vec::new();
         for demand in missing {
-            // What was opened for an earlier job may have room for this one.
+            // What was opened for an earlier job may have room for this one, and what lies idle
+            // elsewhere is there sooner than what has to boot.
             let left = fill(&mut bins, &demand, &self.cloud.types);
+            let demand = Demand { count: left, ..demand };
+            let left = self.take_offers(id, &demand, &mut bins);
             if left == 0 {
                 continue;
             }
-            let Some((kind, zone, spot)) = self.cheapest(shard, &demand.spec, left, &bins) else {
-                wishes.push(MachineWish { shard: id, kind: Name::new(""), spot: demand.spec.spot, count: left });
-                continue;
-            };
+            let Some((kind, zone, spot)) = self.cheapest(&demand.spec, left, &bins) else { continue };
             let Some(of_kind) = self.cloud.types.get(&kind) else { continue };
             let per_machine = of_kind.room.slots(&demand.spec.needs).max(1);
             let count = left.div_ceil(per_machine).min(MOST_RENTED);
@@ -408,14 +418,12 @@
         let spare = bins.iter().filter(|bin| !bin.used).filter_map(|bin| bin.id.clone()).collect();
         let Some(shard) = self.shards.get_mut(&id) else { return };
         shard.spare = spare;
-        shard.wishes = wishes;
         for rental in rentals {
             self.counter += 1;
             // Unique for ever: no other claim has this revision.
             let request = format!("r-{}-{}", shard.claim, self.counter);
             shard.renting.insert(request, rental);
         }
-        let _ = now;
         self.ask_rentals(id);
     }
 
@@ -483,10 +491,8 @@
     /// done: the per-machine target of the source, per slot.
     fn per_slot_target(&self, job: &super::shard::Job) -> f64 {
         let age = self.day_ms.saturating_sub(job.accepted_ms) as f64 / 1000.0;
-        let horizon = job
-            .spec
-            .deadline_s
-            .or_else(|| self.cfg.finish_within.get(&job.spec.class).map(|span| span.as_secs()));
+        let horizon =
+            job.spec.deadline_s.or_else(|| self.cfg.finish_within.get(&job.spec.class).map(|span| span.as_secs()));
         let Some(horizon) = horizon else { return 2.0 };
         let left = horizon - age;
         let boot = self.cloud.catalog.iter().flatten().map(|kind| kind.boot.as_secs()).fold(f64::MAX, f64::min);
@@ -525,9 +531,13 @@
         let booting = shard.booting.values().filter(|machine| !machine.deleting);
         let booting = booting.filter(|machine| {
             // One that is overdue may never come.
-            self.cloud.types.get(&machine.kind).is_some_and(|k| now.since(machine.since) < k.boot.times(1.8) + Span::millis(5000))
+            self.cloud
+                .types
+                .get(&machine.kind)
+                .is_some_and(|k| now.since(machine.since) < k.boot.times(1.8) + Span::millis(5000))
         });
         let coming = booting.map(|m| (&m.kind, &m.zone, m.spot, 1));
+        let coming = coming.chain(shard.taking.values().map(|(offer, _)| (&offer.kind, &offer.zone, offer.spot, 1)));
         let asked = shard.renting.values().map(|r| (&r.kind, &r.zone, r.spot, r.count));
         for (kind, zone, spot, count) in coming.chain(asked) {
             let Some(of_kind) = self.cloud.types.get(kind) else { continue };
@@ -541,8 +551,7 @@
         bins
     }
 
-    fn cheapest(&self, shard: &Shard, spec: &JobSpec, count: u32, bins: &[Bin]) -> Option<(Name, Name, bool)> {
-        let _ = shard;
+    fn cheapest(&self, spec: &JobSpec, count: u32, bins: &[Bin]) -> Option<(Name, Name, bool)> {
         let mut best: Option<(f64, usize, Name, Name, bool)> = None;
         for kind in self.cloud.catalog.iter().flatten() {
             if !spec.allows_type(&kind.name) || !spec.needs.fits_in(&kind.room) {
@@ -577,7 +586,7 @@
         let Some(shard) = self.shards.get_mut(&id) else { return };
         let spare = std::mem::take(&mut shard.spare);
         for (name, machine) in &mut shard.machines {
-            if !machine.listed || machine.deleting {
+            if !machine.listed || machine.deleting || machine.moving_to.is_some() {
                 continue;
             }
             let idle = machine.is_empty() && machine.proven;
@@ -619,11 +628,130 @@
 
 // Moving idle machines between shards.
 impl Controller {
-    pub(super) fn moved(&mut self, shard: ShardId, claim: Revision, machine: MachineId, to: ShardId, answer: Result<StateAnswer, CallError>) {
-        let _ = (shard, claim, machine, to, answer);
+    /// Asks other shards for idle machines that the job could use; gives back how many tasks
+    /// they leave without room.
+    fn take_offers(&mut self, id: ShardId, demand: &Demand, bins: &mut Vec<Bin>) -> u32 {
+        let now = self.now;
+        let mut left = demand.count;
+        let theirs = self.peers.values().filter(|peer| now.since(peer.seen) < Span::millis(1500));
+        let mut offers: Vec<Offer> = theirs.flat_map(|peer| peer.spare.iter().cloned()).collect();
+        let others = self.shards.values().filter(|shard| shard.id != id && shard.active);
+        offers.extend(others.flat_map(|shard| shard.offers(now)));
+        offers.sort_by_key(|offer| !offer.spot);
+        for offer in offers {
+            let spec = &demand.spec;
+            let allowed = (spec.spot || !offer.spot) && spec.allows_type(&offer.kind) && spec.allows_zone(&offer.zone);
+            let Some(kind) = self.cloud.types.get(&offer.kind) else { continue };
+            let slots = kind.room.slots(&spec.needs);
+            let taken = self.shards.values().any(|s| s.taking.contains_key(&offer.machine));
+            if left == 0 || !allowed || slots == 0 || taken {
+                continue;
+            }
+            let Some(from) = self.machine_homes.get(&offer.machine).copied().filter(|from| *from != id) else {
+                continue;
+            };
+            let message = PeerMessage::Take { machine: offer.machine.clone(), shard: id };
+            if self.shards.contains_key(&from) {
+                self.machine_wanted(offer.machine.clone(), id);
+            } else if let Some(to) = self.holder_of(from).cloned() {
+                self.out.push(Action::Send { to, message });
+            } else {
+                continue;
+            }
+            let room = self.cloud.types.get(&offer.kind).map(|kind| kind.room).unwrap_or_default();
+            let (kind, zone, spot) = (offer.kind.clone(), offer.zone.clone(), offer.spot);
+            bins.push(Bin { id: None, kind, zone, spot, room, used: false });
+            let one = Demand { spec: spec.clone(), count: left };
+            left = fill(bins, &one, &self.cloud.types);
+            if let Some(shard) = self.shards.get_mut(&id) {
+                shard.taking.insert(offer.machine.clone(), (offer, now));
+            }
+        }
+        left
+    }
+
+    /// Another shard asks for a machine that was offered.
+    pub(super) fn machine_wanted(&mut self, machine: MachineId, to: ShardId) {
+        if !self.entitled() {
+            return;
+        }
+        let now = self.now;
+        let owner = self.shards.values_mut().find(|shard| shard.machines.contains_key(&machine));
+        let Some(shard) = owner.filter(|shard| shard.active && shard.id != to) else { return };
+        let offered = shard.offers(now).iter().any(|offer| offer.machine == machine);
+        let id = shard.id;
+        let Some(moving) = shard.machines.get_mut(&machine).filter(|_| offered) else { return };
+        moving.draining = true;
+        moving.moving_to = Some(to);
+        self.write_move(id, &machine);
+    }
+
+    fn write_move(&mut self, id: ShardId, machine: &MachineId) {
+        let Some(shard) = self.shards.get(&id) else { return };
+        let Some((moving, to)) = shard.machines.get(machine).and_then(|m| Some((m, m.moving_to?))) else { return };
+        let record = MachineRecord {
+            shard: to,
+            kind: moving.kind.clone(),
+            zone: moving.zone.clone(),
+            spot: moving.spot,
+            addr: moving.addr.to_string(),
+        };
+        let key = records::machine_key(machine);
+        let request = StateCall::Commit {
+            conditions: vec![(records::shard_key(id), shard.claim), (key.clone(), moving.version)],
+            changes: vec![Change::Put { key, value: super::members::to_value(&record), hold: None }],
+        };
+        let work = StateWork::Move { shard: id, claim: shard.claim, machine: machine.clone(), to };
+        self.call_state(request, work);
+    }
+
+    pub(super) fn moved(
+        &mut self,
+        id: ShardId,
+        claim: Revision,
+        machine: MachineId,
+        to: ShardId,
+        answer: Result<StateAnswer, CallError>,
+    ) {
+        let Some(shard) = self.shard_under(id, claim) else { return };
+        match answer {
+            Ok(StateAnswer::Conflict(failed)) if failed.contains(&records::shard_key(id)) => {
+                self.drop_shard(id, "the claim is another's")
+            }
+            // A conflict on the machine alone: an earlier try was executed after all.
+            Ok(StateAnswer::Committed(_) | StateAnswer::Conflict(_)) => {
+                log::info!("machine {machine} moves from shard {id} to shard {to}");
+                shard.machines.remove(&machine);
+                shard.settle_unlocated();
+                self.machine_homes.insert(machine.clone(), to);
+                match self.holder_of(to).cloned() {
+                    Some(node) if node == self.cfg.label => self.machine_moved_in(machine, to),
+                    Some(node) => {
+                        let message = PeerMessage::Moved { machine, shard: to };
+                        self.out.push(Action::Send { to: node, message });
+                    }
+                    None => {}
+                }
+            }
+            // An unanswered move may be executed at any time, so the machine gets nothing more
+            // to do here; the same move is tried again until it is certain.
+            _ => shard.retry_moves.push(machine),
+        }
+    }
+
+    fn retry_moves(&mut self, id: ShardId) {
+        let Some(shard) = self.shards.get_mut(&id) else { return };
+        for machine in std::mem::take(&mut shard.retry_moves) {
+            self.write_move(id, &machine);
+        }
     }
 
     pub(super) fn machine_moved_in(&mut self, machine: MachineId, shard: ShardId) {
-        let _ = (machine, shard);
+        self.machine_homes.insert(machine.clone(), shard);
+        let Some(mine) = self.shards.get_mut(&shard).filter(|mine| mine.active) else { return };
+        mine.taking.remove(&machine);
+        let claim = mine.claim;
+        let request = StateCall::Get(records::machine_key(&machine));
+        self.call_state(request, StateWork::FetchMachine { shard, claim });
     }
 }
--- a/src/coordination/members.rs
+++ b/src/coordination/members.rs
@@ -3,7 +3,7 @@
 use super::shard::Shard;
 use super::*;
 use crate::bookkeeping::records::{self, LiveRecord, MachineRecord, ShardRecord};
-use crate::protocol::peers::MachineWish;
+use crate::protocol::peers::Offer;
 use crate::protocol::state::{Change, Entry};
 
 const BEAT: Span = Span::millis(400);
@@ -51,15 +51,16 @@
 
     fn send_beat(&mut self) {
         self.last_beat = self.now;
-        let rented = self.shards.values().flat_map(|shard| {
-            shard.booting.keys().map(|machine| (machine.clone(), shard.id)).collect::<Vec<_>>()
-        });
+        let rented = self
+            .shards
+            .values()
+            .flat_map(|shard| shard.booting.keys().map(|machine| (machine.clone(), shard.id)).collect::<Vec<_>>());
         let message = PeerMessage::Beat {
             entitled: self.entitled(),
             ready: self.entitled() && self.cloud.catalog.is_some(),
             held: self.shards.values().filter(|s| s.active).map(|s| (s.id, s.claim)).collect(),
             rented: rented.collect(),
-            wanted: self.shards.values().flat_map(|shard| shard.wishes.clone()).collect(),
+            spare: self.shards.values().flat_map(|shard| shard.offers(self.now)).collect(),
         };
         for (peer, _) in &self.cfg.peers {
             self.out.push(Action::Send { to: peer.clone(), message: message.clone() });
@@ -174,10 +175,8 @@
         let rank = (self.cfg.me.0 + nodes - id.0 % nodes) % nodes;
         if rank > 0 {
             let home = self.home_of(id).clone();
-            let home_alive = self
-                .peers
-                .get(&home)
-                .is_some_and(|peer| peer.ready_since.is_some() && now.since(peer.seen) < SILENT);
+            let home_alive =
+                self.peers.get(&home).is_some_and(|peer| peer.ready_since.is_some() && now.since(peer.seen) < SILENT);
             let burden = Span::millis(300 * (rank as u64 - 1 + 2 * self.shards.len().saturating_sub(1) as u64));
             let wait = match (home_alive, ever_held) {
                 (true, _) => Span::millis(1500) + burden,
@@ -325,7 +324,7 @@
         ready: bool,
         held: Vec<(ShardId, Revision)>,
         rented: Vec<(MachineId, ShardId)>,
-        wanted: Vec<MachineWish>,
+        spare: Vec<Offer>,
     ) {
         let now = self.now;
         for (machine, shard) in rented {
@@ -347,7 +346,7 @@
             Some(peer) if ready && now.since(peer.seen) < SILENT => peer.ready_since.or(Some(now)),
             _ => ready.then_some(now),
         };
-        let view = PeerView { seen: now, ready_since: since, entitled, held, wanted };
+        let view = PeerView { seen: now, ready_since: since, entitled, held, spare };
         self.peers.insert(from.clone(), view);
         self.hand_back(&from);
     }
@@ -366,10 +365,7 @@
         }
         log::info!("shard {id} goes back to {node}");
         let key = records::shard_key(id);
-        let request = StateCall::Commit {
-            conditions: vec![(key.clone(), claim)],
-            changes: vec![Change::Delete(key)],
-        };
+        let request = StateCall::Commit { conditions: vec![(key.clone(), claim)], changes: vec![Change::Delete(key)] };
         self.call_state(request, StateWork::Release { shard: id, claim });
     }
 
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -20,8 +20,6 @@
 use crate::protocol::workers::{WorkerAnswer, WorkerCall};
 use crate::protocol::{CallError, Reply};
 use crate::time::{Span, Time};
-use rand::SeedableRng;
-use rand::rngs::SmallRng;
 use shard::Shard;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddrV4;
@@ -44,10 +42,22 @@
 
 #[derive(Debug)]
 pub enum Event {
-    Ask { id: AskId, ask: Ask },
-    State { call: CallNo, answer: Result<StateAnswer, CallError> },
-    Cloud { call: CallNo, answer: Result<CloudAnswer, CallError> },
-    Worker { call: CallNo, answer: Result<WorkerAnswer, CallError> },
+    Ask {
+        id: AskId,
+        ask: Ask,
+    },
+    State {
+        call: CallNo,
+        answer: Result<StateAnswer, CallError>,
+    },
+    Cloud {
+        call: CallNo,
+        answer: Result<CloudAnswer, CallError>,
+    },
+    Worker {
+        call: CallNo,
+        answer: Result<WorkerAnswer, CallError>,
+    },
     Peer(Envelope),
     /// Comes about ten times a second.
     Tick,
@@ -76,7 +86,7 @@
     ready_since: Option<Time>,
     entitled: bool,
     held: Vec<(ShardId, Revision)>,
-    wanted: Vec<crate::protocol::peers::MachineWish>,
+    spare: Vec<crate::protocol::peers::Offer>,
 }
 
 /// Who holds a shard, as last read from the state service or heard.
@@ -134,7 +144,6 @@
 pub struct Controller {
     cfg: Settings,
     life: u64,
-    rng: SmallRng,
     now: Time,
     day_ms: u64,
     started: Time,
@@ -194,13 +203,12 @@
 const FORWARD_TIMEOUT: Span = Span::millis(1500);
 
 impl Controller {
-    pub fn new(cfg: Settings, seed: u64, clock: Clock) -> Controller {
+    pub fn new(cfg: Settings, life: u64, clock: Clock) -> Controller {
         let share = 1.0 / cfg.nodes.len() as f64;
         let requests = Budget::new(cfg.state_rps * share, cfg.state_rps * share);
         let writes = Budget::new(cfg.state_writes * share, cfg.state_writes * share);
         Controller {
-            life: seed,
-            rng: SmallRng::seed_from_u64(seed),
+            life,
             now: clock.steady,
             day_ms: clock.day_ms,
             started: clock.steady,
@@ -333,10 +341,7 @@
     /// staying in the load balancer's list saves its pause afterwards; if others are entitled
     /// and this one is not, users are better off with them.
     fn useful(&self) -> bool {
-        let others = self
-            .peers
-            .values()
-            .any(|peer| peer.entitled && self.now.since(peer.seen) < Span::millis(1500));
+        let others = self.peers.values().any(|peer| peer.entitled && self.now.since(peer.seen) < Span::millis(1500));
         self.cloud.catalog.is_some() && (self.entitled() || (self.hold.is_some() && !others))
     }
 
@@ -370,10 +375,11 @@
             return;
         }
         match message {
-            PeerMessage::Beat { entitled, ready, held, rented, wanted } => {
-                self.beat_heard(from, entitled, ready, held, rented, wanted)
+            PeerMessage::Beat { entitled, ready, held, rented, spare } => {
+                self.beat_heard(from, entitled, ready, held, rented, spare)
             }
             PeerMessage::Released { shard } => self.shard_released(shard),
+            PeerMessage::Take { machine, shard } => self.machine_wanted(machine, shard),
             PeerMessage::Moved { machine, shard } => self.machine_moved_in(machine, shard),
             PeerMessage::Ask { number, shard, ask } => {
                 let asker = Asker::Peer { node: from, number };
@@ -401,8 +407,7 @@
     fn tick(&mut self) {
         self.members_tick();
         let now = self.now;
-        let late: Vec<u64> =
-            self.forwarded.iter().filter(|(_, f)| f.until <= now).map(|(number, _)| *number).collect();
+        let late: Vec<u64> = self.forwarded.iter().filter(|(_, f)| f.until <= now).map(|(number, _)| *number).collect();
         for number in late {
             if let Some(forwarded) = self.forwarded.remove(&number) {
                 self.reply(Asker::Local(forwarded.ask), Reply::busy("the job's node does not answer"));
--- a/src/coordination/shard.rs
+++ b/src/coordination/shard.rs
@@ -4,7 +4,7 @@
 use crate::bookkeeping::ranges::RangeSet;
 use crate::bookkeeping::records::{LiveRecord, MachineRecord};
 use crate::model::*;
-use crate::protocol::peers::MachineWish;
+use crate::protocol::peers::Offer;
 use crate::protocol::workers::{Exit, Report, TaskState};
 use crate::time::{Span, Time};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
@@ -82,7 +82,6 @@
     pub state: Option<TaskState>,
     /// The report in whose answer it was sent, or in which it was found.
     pub sent_in: (Session, Seq),
-    pub sent: Time,
     pub running_since: Option<Time>,
     /// It is to be stopped, with that much time to save.
     pub stop: Option<f64>,
@@ -112,9 +111,10 @@
     pub notice: Option<Time>,
     pub idle_since: Time,
     pub seen: Time,
-    pub added: Time,
     /// It gets no more tasks.
     pub draining: bool,
+    /// It is being handed to another shard. Until that is certain nothing is started on it.
+    pub moving_to: Option<ShardId>,
     /// Its deletion was asked for; from then on nothing is sent to it.
     pub deleting: bool,
     pub failed_jobs: BTreeSet<JobId>,
@@ -146,10 +146,6 @@
         self.proven && !self.draining && !self.deleting && self.notice.is_none() && now >= self.distrusted_until
     }
 
-    pub fn has_image(&self, image: &Name) -> bool {
-        self.images.iter().any(|(name, _)| name == image)
-    }
-
     /// Notes that it fetches an image; the oldest go when the cache is full.
     pub fn note_image(&mut self, image: &Name, gb: f64, cache_gb: f64) {
         self.images.retain(|(name, _)| name != image);
@@ -182,9 +178,11 @@
     /// Reports that came while it was loading.
     pub early: Vec<(AskId, Box<Report>)>,
     pub usage: HashMap<Name, Resources>,
-    pub wishes: Vec<MachineWish>,
+    /// Offered machines of other shards that were asked for lately.
+    pub taking: BTreeMap<MachineId, (Offer, Time)>,
     /// Machines that the last count had no work for.
     pub spare: HashSet<MachineId>,
+    pub retry_moves: Vec<MachineId>,
     pub deleting_until: Time,
     /// Machines that are gone but whose record could not be removed yet.
     pub leftovers: Vec<MachineId>,
@@ -212,13 +210,31 @@
             renting: BTreeMap::new(),
             early: Vec::new(),
             usage: HashMap::new(),
-            wishes: Vec::new(),
+            taking: BTreeMap::new(),
             spare: HashSet::new(),
+            retry_moves: Vec::new(),
             deleting_until: Time::ZERO,
             leftovers: Vec::new(),
         }
     }
 
+    /// Machines that no work of this shard needs.
+    pub fn offers(&self, now: Time) -> Vec<Offer> {
+        let idle = self.machines.iter().filter(|(id, machine)| {
+            self.spare.contains(*id)
+                && machine.may_bind(now)
+                && machine.attempts.is_empty()
+                && now.since(machine.seen) < Span::millis(4000)
+        });
+        idle.map(|(id, machine)| Offer {
+            machine: id.clone(),
+            kind: machine.kind.clone(),
+            zone: machine.zone.clone(),
+            spot: machine.spot,
+        })
+        .collect()
+    }
+
     /// Takes a job in as its record has it.
     pub fn load_job(&mut self, record: LiveRecord, version: Revision) {
         let spec = record.job;
@@ -288,17 +304,20 @@
     }
 
     /// Takes in a machine whose record was written under this claim.
-    pub fn add_machine(&mut self, id: MachineId, record: &MachineRecord, addr: SocketAddrV4, version: Revision, now: Time) {
+    pub fn add_machine(
+        &mut self,
+        id: MachineId,
+        record: &MachineRecord,
+        addr: SocketAddrV4,
+        version: Revision,
+        now: Time,
+    ) {
         let mut machine = Machine::new(record, addr, version, self.claim, now);
         machine.proven = true;
         self.booting.remove(&id);
         self.machines.insert(id, machine);
     }
 
-    pub fn all_proven(&self, now: Time, lease: Span) -> bool {
-        self.machines.values().all(|machine| machine.proven || machine.surely_dead(now, lease))
-    }
-
     /// Once no machine is left on which a former holder's attempt could be running, the tasks
     /// that were not found anywhere may be started.
     pub fn settle_unlocated(&mut self) {
@@ -371,6 +390,7 @@
         let Some(machine) = self.machines.get_mut(machine_id) else { return };
         let Some(attempt) = machine.attempts.get(&no) else { return };
         let task = attempt.task.clone();
+        log::debug!("task {task} attempt {no} on {machine_id}: {outcome:?}");
         let ran = attempt.running_since.map(|since| now.since(since).as_secs());
         if let Some(usage) = self.usage.get_mut(&attempt.team) {
             *usage = usage.minus(&attempt.needs);
@@ -493,7 +513,6 @@
             needs,
             state: Some(told.state),
             sent_in: (report.session, report.seq),
-            sent: now,
             running_since: (told.state == TaskState::Running).then_some(now),
             stop: (!wanted && !over).then_some(0.0),
         };
@@ -532,8 +551,8 @@
             notice: None,
             idle_since: now,
             seen: now,
-            added: now,
             draining: false,
+            moving_to: None,
             deleting: false,
             failed_jobs: BTreeSet::new(),
             distrusted_until: Time::ZERO,
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -288,9 +288,8 @@
             return Some(ShardId(place as u32 % self.cfg.shards));
         }
         let own = self.shards.values().filter(|shard| shard.active).min_by_key(|shard| shard.jobs.len());
-        own.map(|shard| shard.id).or_else(|| {
-            (0..self.cfg.shards).map(ShardId).find(|shard| self.live_holder(*shard).is_some())
-        })
+        own.map(|shard| shard.id)
+            .or_else(|| (0..self.cfg.shards).map(ShardId).find(|shard| self.live_holder(*shard).is_some()))
     }
 
     pub(super) fn submit_here(&mut self, asker: Asker, shard_id: ShardId, spec: JobSpec) {
--- a/src/coordination/workers.rs
+++ b/src/coordination/workers.rs
@@ -72,9 +72,10 @@
 
     /// Records a machine as this shard's. Only then may its reports be answered with 200.
     fn adopt(&mut self, ask: AskId, shard: ShardId, report: Box<Report>) {
-        let under_way = self.state_work.values().any(
-            |work| matches!(work, StateWork::Adopt { report: other, .. } if other.machine == report.machine),
-        );
+        let under_way = self
+            .state_work
+            .values()
+            .any(|work| matches!(work, StateWork::Adopt { report: other, .. } if other.machine == report.machine));
         let claim = match self.shards.get(&shard) {
             Some(shard) if !under_way => shard.claim,
             _ => return self.reply(Asker::Local(ask), Reply::busy("being recorded")),
@@ -149,13 +150,15 @@
         let Some(mine) = self.shard_under(shard, claim) else { return };
         if record.shard == shard && !mine.machines.contains_key(&id) {
             mine.booting.remove(&id);
+            mine.taking.remove(&id);
             mine.load_machine(id, &record, entry.version, proof_by);
+            self.probe_machines(shard);
         }
     }
 
     fn serve_report(&mut self, ask: AskId, shard_id: ShardId, report: Box<Report>) {
         let now = self.now;
-        let (entitled, may_renew, lease) = (self.entitled(), self.may_renew(), self.cfg.lease);
+        let (entitled, may_renew) = (self.entitled(), self.may_renew());
         let Some(shard) = self.shards.get_mut(&shard_id) else { return };
         if !shard.active {
             shard.early.push((ask, report));
@@ -173,8 +176,11 @@
         }
         let this = (report.session, report.seq);
         if this <= machine.last {
-            // Late, or a second time: what it says is older than what is known.
-            return self.reply(Asker::Local(ask), Reply::busy("an older report"));
+            // Late, or overtaken by an answer to a direct command: what it says is older than what
+            // is known, so it is only answered.
+            machine.answered = Some(now);
+            let reply = workers::accepted(machine.token, &[]);
+            return self.reply(Asker::Local(ask), reply);
         }
         let fresh = machine.proven && machine.answered.is_none() && machine.attempts.is_empty();
         machine.last = this;
@@ -195,7 +201,6 @@
         }
         shard.read_report(&report, now);
         shard.settle_unlocated();
-        let _ = lease;
         let commands = self.commands_for(shard_id, &report.machine, entitled);
         self.reply(Asker::Local(ask), workers::accepted(token, &commands));
         self.finish_jobs(shard_id);
--- a/src/main.rs
+++ b/src/main.rs
@@ -17,9 +17,7 @@
 
 fn main() -> ExitCode {
     let arguments = Arguments::parse();
-    env_logger::Builder::from_env(env_logger::Env::new().filter_or("LOG_LEVEL", "info"))
-        .format_timestamp(None)
-        .init();
+    env_logger::Builder::from_env(env_logger::Env::new().filter_or("LOG_LEVEL", "info")).format_timestamp(None).init();
     let settings = match Settings::load(&arguments.config, arguments.properties.as_deref()) {
         Ok(settings) => settings,
         Err(error) => {
--- a/src/model.rs
+++ b/src/model.rs
@@ -119,10 +119,8 @@
     /// How many of `task` fit side by side.
     pub fn slots(&self, task: &Resources) -> u32 {
         let ratio = |room: Amount, need: Amount| room.0.checked_div(need.0).unwrap_or(u64::MAX);
-        ratio(self.cpus, task.cpus)
-            .min(ratio(self.gpus, task.gpus))
-            .min(ratio(self.memory, task.memory))
-            .min(100_000) as u32
+        ratio(self.cpus, task.cpus).min(ratio(self.gpus, task.gpus)).min(ratio(self.memory, task.memory)).min(100_000)
+            as u32
     }
 }
 
--- a/src/protocol/cloud.rs
+++ b/src/protocol/cloud.rs
@@ -105,9 +105,7 @@
             CloudCall::Delete(machines) => {
                 Outgoing::post("/rentals/delete", &serde_json::json!({ "perches": machines }))
             }
-            CloudCall::List { after: Some(after) } => {
-                Outgoing::get(format!("/rentals?after={after}&page={PAGE}"))
-            }
+            CloudCall::List { after: Some(after) } => Outgoing::get(format!("/rentals?after={after}&page={PAGE}")),
             CloudCall::List { after: None } => Outgoing::get(format!("/rentals?page={PAGE}")),
         }
     }
--- a/src/protocol/peers.rs
+++ b/src/protocol/peers.rs
@@ -23,25 +23,42 @@
         held: Vec<(ShardId, Revision)>,
         /// Machines of those shards that were rented and have not been recorded yet.
         rented: Vec<(MachineId, ShardId)>,
-        /// Machines that those shards could use, and what their tasks need.
-        wanted: Vec<MachineWish>,
+        /// Idle machines of those shards that other shards may have.
+        spare: Vec<Offer>,
     },
     /// A user's request that another node's shard must decide.
-    Ask { number: u64, shard: ShardId, ask: PeerAsk },
-    Answer { number: u64, reply: Reply },
+    Ask {
+        number: u64,
+        shard: ShardId,
+        ask: PeerAsk,
+    },
+    Answer {
+        number: u64,
+        reply: Reply,
+    },
     /// A shard was let go; its home node may claim it at once.
-    Released { shard: ShardId },
+    Released {
+        shard: ShardId,
+    },
+    /// An offered machine is wanted by a shard.
+    Take {
+        machine: MachineId,
+        shard: ShardId,
+    },
     /// A machine was handed to a shard.
-    Moved { machine: MachineId, shard: ShardId },
+    Moved {
+        machine: MachineId,
+        shard: ShardId,
+    },
 }
 
-/// A shard has work for machines of this type and can't get them soon.
+/// An idle machine that another shard may have.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct MachineWish {
-    pub shard: ShardId,
+pub struct Offer {
+    pub machine: MachineId,
     pub kind: Name,
+    pub zone: Name,
     pub spot: bool,
-    pub count: u32,
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/src/protocol/state.rs
+++ b/src/protocol/state.rs
@@ -32,7 +32,10 @@
 pub enum StateAnswer {
     Found(Entry),
     Missing,
-    Page { entries: Vec<Entry>, more: bool },
+    Page {
+        entries: Vec<Entry>,
+        more: bool,
+    },
     Committed(Revision),
     /// The keys whose version was another.
     Conflict(Vec<String>),
@@ -75,12 +78,7 @@
 
 impl From<WireEntry> for Entry {
     fn from(wire: WireEntry) -> Entry {
-        Entry {
-            key: wire.k,
-            value: wire.data,
-            version: Revision(wire.molt),
-            hold: wire.tenure.map(HoldId),
-        }
+        Entry { key: wire.k, value: wire.data, version: Revision(wire.molt), hold: wire.tenure.map(HoldId) }
     }
 }
 
@@ -98,17 +96,13 @@
     pub fn request(&self) -> Outgoing {
         match self {
             StateCall::Get(key) => Outgoing::get(format!("/keys/{key}")),
-            StateCall::List { prefix, after: None } => {
-                Outgoing::get(format!("/keys?prefix={prefix}&page={PAGE}"))
-            }
+            StateCall::List { prefix, after: None } => Outgoing::get(format!("/keys?prefix={prefix}&page={PAGE}")),
             StateCall::List { prefix, after: Some(after) } => {
                 Outgoing::get(format!("/keys?prefix={prefix}&after={after}&page={PAGE}"))
             }
             StateCall::Commit { conditions, changes } => {
-                let conditions: Vec<Value> = conditions
-                    .iter()
-                    .map(|(key, version)| serde_json::json!({ "k": key, "molt": version }))
-                    .collect();
+                let conditions: Vec<Value> =
+                    conditions.iter().map(|(key, version)| serde_json::json!({ "k": key, "molt": version })).collect();
                 let changes: Vec<Value> = changes
                     .iter()
                     .map(|change| match change {
@@ -123,9 +117,7 @@
                     .collect();
                 Outgoing::post("/commit", &serde_json::json!({ "if": conditions, "apply": changes }))
             }
-            StateCall::Grant { life_ms } => {
-                Outgoing::post("/holds", &serde_json::json!({ "life_ms": life_ms }))
-            }
+            StateCall::Grant { life_ms } => Outgoing::post("/holds", &serde_json::json!({ "life_ms": life_ms })),
             StateCall::Touch(hold) => {
                 Outgoing { method: "POST", path: format!("/holds/{hold}/touch"), body: Some(b"{}".to_vec()) }
             }
@@ -156,12 +148,8 @@
                 let entries = page.entries.into_iter().map(Entry::from).collect();
                 StateAnswer::Page { entries, more: page.truncated }
             }
-            StateCall::Commit { .. } => {
-                StateAnswer::Committed(Revision(from_json::<WireTally>(status, body)?.tally))
-            }
-            StateCall::Grant { .. } => {
-                StateAnswer::Granted(HoldId(from_json::<WireHold>(status, body)?.tenure))
-            }
+            StateCall::Commit { .. } => StateAnswer::Committed(Revision(from_json::<WireTally>(status, body)?.tally)),
+            StateCall::Grant { .. } => StateAnswer::Granted(HoldId(from_json::<WireHold>(status, body)?.tenure)),
             StateCall::Touch(_) => StateAnswer::Touched,
         })
     }
--- a/src/protocol/users.rs
+++ b/src/protocol/users.rs
@@ -88,8 +88,7 @@
         .and_then(parse_job_id)
         .ok_or_else(|| nameless("id: missing or not of the form"))?;
     let bad = |why: String| BadJob { id: Some(id.clone()), why };
-    let job: Submission =
-        Submission::deserialize(&value).map_err(|error| bad(error.to_string()))?;
+    let job: Submission = Submission::deserialize(&value).map_err(|error| bad(error.to_string()))?;
     for (name, amount) in [
         ("cores", Some(job.cores)),
         ("gpus", Some(job.gpus)),
@@ -133,11 +132,7 @@
             Pecking::BestEffort => Priority::BestEffort,
         },
         tasks: job.clutch,
-        needs: Resources {
-            cpus: Amount::new(job.cores),
-            gpus: Amount::new(job.gpus),
-            memory: Amount::new(job.ram_gb),
-        },
+        needs: Resources { cpus: Amount::new(job.cores), gpus: Amount::new(job.gpus), memory: Amount::new(job.ram_gb) },
         image: Name::new(&job.image),
         image_gb: job.image_gb,
         types: job.breeds.map(|types| types.iter().map(|name| Name::new(name)).collect()),
--- a/src/protocol/workers.rs
+++ b/src/protocol/workers.rs
@@ -1,6 +1,6 @@
 //! Workers: their reports, and the commands they are given.
 
-use super::{CallError, Outgoing, Reply, from_json};
+use super::{CallError, Outgoing, Reply};
 use crate::model::{AttemptNo, MachineId, Name, Seq, Session, TaskId, Token};
 use crate::time::Span;
 use serde::{Deserialize, Serialize, Serializer};
@@ -198,7 +198,7 @@
         match status {
             200 => Ok(WorkerAnswer::Executed(report()?)),
             409 => Ok(WorkerAnswer::Rejected(report()?)),
-            _ => from_json::<()>(status, b"").and(Err(CallError::Odd(status))),
+            _ => Err(CallError::Odd(status)),
         }
     }
 }
--- a/src/service.rs
+++ b/src/service.rs
@@ -51,12 +51,8 @@
     let clock = Clock { steady: transport.clock(), day_ms: day_ms() };
     let controller = Controller::new(settings.clone(), rand::random(), clock);
     let peers = settings.peers.iter().map(|(label, addr)| (label.clone(), (*addr, Time::ZERO)));
-    let mut service = Service {
-        peer_addrs: peers.collect(),
-        settings,
-        controller: Mutex::new(controller),
-        flights: HashMap::new(),
-    };
+    let mut service =
+        Service { peer_addrs: peers.collect(), settings, controller: Mutex::new(controller), flights: HashMap::new() };
     log::info!("{} listens at {}", service.settings.label, service.settings.front);
     let mut next_tick = Time::ZERO;
     loop {
@@ -86,8 +82,7 @@
 
     fn handle(&mut self, transport: &mut Transport, event: Event) {
         let clock = Clock { steady: transport.clock(), day_ms: day_ms() };
-        let actions =
-            self.controller.lock().unwrap_or_else(PoisonError::into_inner).handle(clock, event);
+        let actions = self.controller.lock().unwrap_or_else(PoisonError::into_inner).handle(clock, event);
         for action in actions {
             self.act(transport, action);
         }
--- a/src/transport/http.rs
+++ b/src/transport/http.rs
@@ -136,9 +136,7 @@
     let Some(framing) = framing(head.headers) else { return Parsed::Broken(400) };
     let close = framing.close || head.version == Some(0);
     match body(bytes, start, &framing, MOST_RESPONSE_BODY) {
-        Parsed::Whole(body, end) => {
-            Parsed::Whole(Response { status: head.code.unwrap_or(0), body, close }, end)
-        }
+        Parsed::Whole(body, end) => Parsed::Whole(Response { status: head.code.unwrap_or(0), body, close }, end),
         Parsed::Partial => Parsed::Partial,
         Parsed::Broken(status) => Parsed::Broken(status),
     }
--- a/src/transport/reactor.rs
+++ b/src/transport/reactor.rs
@@ -21,9 +21,15 @@
 /// What came in.
 #[derive(Debug)]
 pub enum NetEvent {
-    Request { id: RequestId, request: Request },
+    Request {
+        id: RequestId,
+        request: Request,
+    },
     /// The answer to a call; nothing if none came in time or the connection broke.
-    Answer { call: CallId, response: Option<Response> },
+    Answer {
+        call: CallId,
+        response: Option<Response>,
+    },
     Frame(Vec<u8>),
 }
 
@@ -396,13 +402,7 @@
     }
 
     /// Sends a request; exactly one answer event follows.
-    pub fn call(
-        &mut self,
-        call: CallId,
-        target: SocketAddrV4,
-        request: (&str, &str, Option<&[u8]>),
-        timeout: Span,
-    ) {
+    pub fn call(&mut self, call: CallId, target: SocketAddrV4, request: (&str, &str, Option<&[u8]>), timeout: Span) {
         let (method, path, body) = request;
         let bytes = http::write_request(method, path, &target.to_string(), body);
         let deadline = self.now + timeout;
@@ -496,8 +496,7 @@
     /// Ends what has taken too long. To be called several times a second.
     pub fn expire(&mut self) {
         let now = self.now;
-        let late: Vec<CallId> =
-            self.calls.iter().filter(|(_, call)| call.deadline <= now).map(|(id, _)| *id).collect();
+        let late: Vec<CallId> = self.calls.iter().filter(|(_, call)| call.deadline <= now).map(|(id, _)| *id).collect();
         for id in late {
             let Some(call) = self.calls.remove(&id) else { continue };
             self.inbox.push_back(NetEvent::Answer { call: id, response: None });
