--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -84,6 +84,8 @@
 struct Demand {
     spec: JobSpec,
     count: u32,
+    /// Machines that its tasks are kept away from: they do not count as room for it.
+    avoids: Vec<MachineId>,
 }
 
 impl Controller {
@@ -391,7 +393,7 @@
         for demand in demands {
             let left = fill(&mut bins, &demand, &self.cloud.types);
             if left > 0 {
-                missing.push(Demand { count: left, spec: demand.spec });
+                missing.push(Demand { count: left, ..demand });
             }
         }
         let mut rentals = Vec::new();
@@ -412,7 +414,7 @@
                 let (kind, zone, room) = (kind.clone(), zone.clone(), of_kind.room);
                 bins.push(Bin { id: None, kind, zone, spot, room, used: false });
             }
-            fill(&mut bins, &Demand { count: left, spec: demand.spec }, &self.cloud.types);
+            fill(&mut bins, &Demand { count: left, ..demand }, &self.cloud.types);
             rentals.push(Rental { kind, zone, spot, count, asked: Time::ZERO, in_flight: false });
         }
         let spare = bins.iter().filter(|bin| !bin.used).filter_map(|bin| bin.id.clone()).collect();
@@ -474,14 +476,15 @@
             let placed = if job.spec.kind == JobKind::Service { job.running.len() as u32 } else { 0 };
             let count = count.saturating_sub(placed);
             if count > 0 {
-                demands.push(Demand { spec: job.spec.clone(), count });
+                let avoids = job.failed_on.iter().map(|(id, _)| id.clone()).filter(|id| job.avoids(id, self.now));
+                demands.push(Demand { spec: job.spec.clone(), count, avoids: avoids.collect() });
             }
         }
         if let Some(job) = newest {
             let spare = ((self.cfg.own.headroom - 1.0) * f64::from(services)).ceil() as u32;
             let at = demands.iter().take_while(|d| d.spec.kind == JobKind::Service).count();
             if spare > 0 {
-                demands.insert(at, Demand { spec: job.spec.clone(), count: spare });
+                demands.insert(at, Demand { spec: job.spec.clone(), count: spare, avoids: Vec::new() });
             }
         }
         demands
@@ -512,7 +515,8 @@
         let mut bins = Vec::new();
         for (id, machine) in &shard.machines {
             let quiet = now.since(machine.seen) > lease;
-            if machine.draining || machine.deleting || machine.notice.is_some() || quiet {
+            let distrusted = now < machine.distrusted_until;
+            if machine.draining || machine.deleting || machine.notice.is_some() || quiet || distrusted {
                 continue;
             }
             let Some(kind) = self.cloud.types.get(&machine.kind) else { continue };
@@ -593,6 +597,7 @@
             if idle && spare.contains(name) && now.since(machine.idle_since) >= wait {
                 machine.deleting = true;
             }
+            machine.deleting |= idle && now < machine.distrusted_until;
             // Paid for, and its tasks are long started anew elsewhere.
             if machine.surely_dead(now, lease) && now.since(machine.seen) > lease.times(1.5) {
                 machine.deleting = true;
@@ -612,7 +617,8 @@
                 return 0;
             }
             let allowed = (spec.spot || !spot) && spec.allows_type(&bin.kind) && spec.allows_zone(&bin.zone);
-            if !allowed || !types.contains_key(&bin.kind) {
+            let avoided = bin.id.as_ref().is_some_and(|id| demand.avoids.contains(id));
+            if !allowed || avoided || !types.contains_key(&bin.kind) {
                 continue;
             }
             let taken = bin.room.slots(&spec.needs).min(left);
@@ -661,7 +667,7 @@
             let room = self.cloud.types.get(&offer.kind).map(|kind| kind.room).unwrap_or_default();
             let (kind, zone, spot) = (offer.kind.clone(), offer.zone.clone(), offer.spot);
             bins.push(Bin { id: None, kind, zone, spot, room, used: false });
-            let one = Demand { spec: spec.clone(), count: left };
+            let one = Demand { spec: spec.clone(), count: left, avoids: demand.avoids.clone() };
             left = fill(bins, &one, &self.cloud.types);
             if let Some(shard) = self.shards.get_mut(&id) {
                 shard.taking.insert(offer.machine.clone(), (offer, now));
--- a/src/coordination/shard.rs
+++ b/src/coordination/shard.rs
@@ -75,6 +75,11 @@
 /// How far ahead of the tasks started the record allows starts.
 pub(super) const LOOKAHEAD: u32 = 64;
 
+/// From how many jobs' tasks failing on a machine it is thought to be faulty, and for how long
+/// it then gets nothing to do, if it can't be given back.
+const SUSPICIOUS: usize = 2;
+const DISTRUST: Span = Span::millis(180_000);
+
 pub(super) struct Attempt {
     pub task: TaskId,
     pub team: Name,
@@ -399,8 +404,15 @@
             machine.idle_since = now;
         }
         match outcome {
-            Outcome::Exited(Exit::Error) => {
+            // A job that fails on several machines is to blame itself, not the machines.
+            Outcome::Exited(Exit::Error)
+                if self.jobs.get(&task.job).is_some_and(|job| job.failed_on.iter().all(|(id, _)| id == machine_id)) =>
+            {
                 machine.failed_jobs.insert(task.job.clone());
+                if machine.failed_jobs.len() >= SUSPICIOUS {
+                    log::warn!("machine {machine_id}: several jobs' tasks failed there");
+                    machine.distrusted_until = now + DISTRUST;
+                }
             }
             Outcome::Exited(Exit::Done) => machine.failed_jobs.clear(),
             _ => {}
--- /dev/null
+++ b/tests/protocol.rs
@@ -0,0 +1,290 @@
+//! What is read from the wire, and what bad input comes to.
+
+use crowstall::bookkeeping::ranges::RangeSet;
+use crowstall::config::Settings;
+use crowstall::model::*;
+use crowstall::protocol::CallError;
+use crowstall::protocol::cloud::{CloudAnswer, CloudCall};
+use crowstall::protocol::peers;
+use crowstall::protocol::state::{Change, StateAnswer, StateCall};
+use crowstall::protocol::users::{Ask, parse};
+use crowstall::protocol::workers::{Exit, TaskState};
+use crowstall::transport::http::{Parsed, parse_request, parse_response};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use serde_json::{Value, json};
+use std::collections::BTreeSet;
+
+fn submission() -> Value {
+    json!({"id":"wk-000412","brood":"train","flock":"vision","gait":"sweep","pecking":"high","clutch":16,
+        "cores":8.0,"gpus":1.0,"ram_gb":64.0,"plumage":"img-07","image_gb":6.2,"breeds":["g8"],"roost":null,
+        "together":true,"spread":false,"scavenged":true,"flight_s":240.0,"cache_s":30.0,"stash_s":4.0,
+        "dusk_s":900.0,"unknown":{"a":1}})
+}
+
+fn submit(body: &Value) -> Ask {
+    parse("POST", "/v1/jobs", body.to_string().as_bytes())
+}
+
+#[test]
+fn a_submission_is_read() {
+    let Ask::Submit(Ok(spec)) = submit(&submission()) else { panic!("not taken") };
+    assert_eq!((spec.id.as_str(), spec.class.as_str(), spec.team.as_str()), ("wk-000412", "train", "vision"));
+    assert_eq!((spec.kind, spec.priority, spec.tasks), (JobKind::Array, Priority::High, 16));
+    assert_eq!(spec.needs.cpus, Amount::new(8.0));
+    assert_eq!(spec.types, Some(vec![Name::new("g8")]));
+    assert!(spec.one_zone && spec.spot && !spec.spread && spec.zone.is_none());
+    assert_eq!(spec.deadline_s, Some(900.0));
+}
+
+#[test]
+fn every_bad_field_is_refused_and_the_id_kept() {
+    let bad = [
+        ("clutch", json!(0)),
+        ("clutch", json!(100_001)),
+        ("clutch", json!(-1)),
+        ("clutch", json!(1.5)),
+        ("clutch", json!("7")),
+        ("cores", json!(-1.0)),
+        ("cores", json!(0)),
+        ("cores", json!(null)),
+        ("cores", json!("NaN")),
+        ("ram_gb", json!(1e300)),
+        ("gait", json!("gallop")),
+        ("pecking", json!("urgent")),
+        ("together", json!("yes")),
+        ("breeds", json!("g8")),
+        ("roost", json!(7)),
+        ("dusk_s", json!(-5)),
+        ("flock", json!("")),
+    ];
+    for (field, value) in bad {
+        let mut body = submission();
+        body[field] = value.clone();
+        match submit(&body) {
+            Ask::Submit(Err(bad)) => assert_eq!(bad.id, Some(JobId::new("wk-000412")), "{field}"),
+            other => panic!("{field} {value}: {other:?}"),
+        }
+    }
+    for field in ["brood", "gait", "pecking", "clutch", "cores", "gpus", "plumage", "flight_s", "together"] {
+        let mut body = submission();
+        body.as_object_mut().unwrap().remove(field);
+        assert!(matches!(submit(&body), Ask::Submit(Err(_))), "{field} missing");
+    }
+    for field in ["breeds", "roost", "dusk_s"] {
+        let mut body = submission();
+        body.as_object_mut().unwrap().remove(field);
+        assert!(matches!(submit(&body), Ask::Submit(Ok(_))), "{field} may be missing");
+    }
+    for id in ["wk-", "job-1", "wk-1a", "wk-1/2", "", "WK-1"] {
+        let mut body = submission();
+        body["id"] = json!(id);
+        assert!(matches!(submit(&body), Ask::Submit(Err(bad)) if bad.id.is_none()), "{id}");
+    }
+    for body in [&b"[]"[..], b"7", b"{", b"", b"\xff\xfe", b"{\"id\":NaN}"] {
+        assert!(matches!(parse("POST", "/v1/jobs", body), Ask::Submit(Err(_))));
+    }
+}
+
+#[test]
+fn paths_and_methods_are_told_apart() {
+    let status = |method: &str, path: &str| match parse(method, path, b"") {
+        Ask::Fixed(reply) => reply.status,
+        _ => 0,
+    };
+    assert_eq!(status("GET", "/nowhere"), 404);
+    assert_eq!(status("GET", "/v1/jobs/other-1"), 404);
+    assert_eq!(status("GET", "/v1/jobs/wk-1/tasks"), 404);
+    assert_eq!(status("DELETE", "/v1/jobs/wk-1"), 405);
+    assert_eq!(status("GET", "/v1/jobs"), 405);
+    assert_eq!(status("GET", "/v1/jobs/wk-1/cancel"), 405);
+    assert_eq!(status("POST", "/up"), 405);
+    assert_eq!(status("POST", "/hello"), 400);
+    assert_eq!(parse("GET", "/v1/jobs/wk-1", b""), Ask::Poll(JobId::new("wk-1")));
+    assert_eq!(parse("POST", "/v1/jobs/wk-1/cancel", b"{}"), Ask::Cancel(JobId::new("wk-1")));
+}
+
+#[test]
+fn a_report_is_read() {
+    let body = json!({"perch":"i-000231","endpoint":"10.1.0.232:9000","breed":"g8","roost":"a","scavenged":true,
+        "sitting":1,"caw":88,"crest":41,"shoo_s":12.5,
+        "clutch":[{"egg":"wk-000412/3","hatch":2,"mood":"running"},
+                  {"egg":"wk-000398/0","hatch":1,"mood":"ended","cause":"done"},
+                  {"egg":"wk-000398/1","hatch":18446744073709551615u64,"mood":"ended","cause":"unheard-of"}]});
+    let Ask::Report(report) = parse("POST", "/hello", body.to_string().as_bytes()) else { panic!("not read") };
+    assert_eq!((report.session, report.seq, report.token), (Session(1), Seq(88), Token(41)));
+    assert_eq!(report.tasks[0].state, TaskState::Running);
+    assert_eq!(report.tasks[1].state, TaskState::Exited(Exit::Done));
+    assert_eq!((report.tasks[2].attempt, report.tasks[2].state), (AttemptNo(u64::MAX), TaskState::Exited(Exit::Error)));
+    assert_eq!(report.notice.map(|left| left.as_millis()), Some(12_500));
+}
+
+#[test]
+fn the_state_services_answers_are_told_apart() {
+    let commit = StateCall::Commit { conditions: vec![], changes: vec![Change::Delete("a".into())] };
+    assert_eq!(commit.answer(200, br#"{"tally":432}"#), Ok(StateAnswer::Committed(Revision(432))));
+    assert_eq!(commit.answer(409, br#"{"failed":["a/b"],"tally":1}"#), Ok(StateAnswer::Conflict(vec!["a/b".into()])));
+    assert_eq!(commit.answer(400, br#"{"error":"no such lease"}"#), Ok(StateAnswer::NoHold));
+    assert_eq!(commit.answer(400, b"{}"), Err(CallError::Odd(400)));
+    assert_eq!(commit.answer(429, b""), Err(CallError::Refused { over_limit: true }));
+    assert_eq!(commit.answer(503, b""), Err(CallError::Refused { over_limit: false }));
+    assert_eq!(commit.answer(500, b""), Err(CallError::NoAnswer));
+    assert_eq!(commit.answer(200, b"garbage"), Err(CallError::Odd(200)));
+    assert_eq!(StateCall::Touch(HoldId(7)).answer(404, b""), Ok(StateAnswer::NoHold));
+    assert_eq!(StateCall::Get("a".into()).answer(404, br#"{"tally":1}"#), Ok(StateAnswer::Missing));
+    let rent =
+        CloudCall::Rent { request: "r".into(), kind: Name::new("g"), zone: Name::new("a"), spot: true, count: 1 };
+    assert_eq!(rent.answer(503, br#"{"error":"no capacity"}"#), Ok(CloudAnswer::NoCapacity));
+    assert_eq!(rent.answer(503, br#"{"error":"trouble"}"#), Err(CallError::Refused { over_limit: false }));
+    assert_eq!(rent.answer(200, br#"{"perches":["i-1"]}"#), Ok(CloudAnswer::Rented(vec![MachineId::new("i-1")])));
+}
+
+#[test]
+fn requests_are_read_whole_or_not_at_all() {
+    let wire = b"POST /v1/jobs HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nabcdGET /up HTTP/1.1\r\n\r\n";
+    let length = wire.len() - b"GET /up HTTP/1.1\r\n\r\n".len();
+    for end in 0..length {
+        assert_eq!(parse_request(&wire[..end]), Parsed::Partial, "{end}");
+    }
+    let Parsed::Whole(request, used) = parse_request(wire) else { panic!("not whole") };
+    assert_eq!((request.body.as_slice(), used, request.close), (&b"abcd"[..], length, false));
+    let chunked = b"POST /hello HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+    let Parsed::Whole(request, used) = parse_request(chunked) else { panic!("not whole") };
+    assert_eq!((request.body.as_slice(), used), (&b"abcde"[..], chunked.len()));
+    let broken = [
+        (&b"\x16\x03\x01\x02\x00\x01\x00\r\n\r\n"[..], 400),
+        (b"GET /up HTTP/1.1\r\nContent-Length: -1\r\n\r\n", 400),
+        (b"GET /up HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", 400),
+        (b"GET /up HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n", 400),
+        (b"POST /v1/jobs HTTP/1.1\r\nContent-Length: 65537\r\n\r\n", 413),
+        (b"POST /v1/jobs HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nfffffffffffffff\r\n", 413),
+    ];
+    for (bytes, status) in broken {
+        assert_eq!(parse_request(bytes), Parsed::Broken(status), "{}", String::from_utf8_lossy(bytes));
+    }
+    let long = [b"GET / HTTP/1.1\r\nA: ".to_vec(), vec![b'x'; 20_000]].concat();
+    assert_eq!(parse_request(&long), Parsed::Broken(431));
+}
+
+#[test]
+fn nothing_that_comes_in_makes_a_reader_panic() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let seeds: Vec<Vec<u8>> = vec![
+        submission().to_string().into_bytes(),
+        b"POST /v1/jobs HTTP/1.1\r\nContent-Length: 4\r\n\r\nabcd".to_vec(),
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n".to_vec(),
+        br#"{"entries":[{"k":"a","data":{},"molt":4}],"truncated":true,"tally":431}"#.to_vec(),
+    ];
+    let mut read = 0;
+    for _ in 0..20_000 {
+        let mut bytes = seeds[rng.random_range(0..seeds.len())].clone();
+        for _ in 0..rng.random_range(0..6) {
+            let at = rng.random_range(0..bytes.len());
+            match rng.random_range(0..3) {
+                0 => bytes[at] = rng.random(),
+                1 => bytes.truncate(at.max(1)),
+                _ => bytes.insert(at, rng.random()),
+            }
+        }
+        read += usize::from(matches!(parse_request(&bytes), Parsed::Whole(..)));
+        read += usize::from(matches!(parse_response(&bytes), Parsed::Whole(..)));
+        read += usize::from(matches!(parse("POST", "/v1/jobs", &bytes), Ask::Submit(Ok(_))));
+        read += usize::from(matches!(parse("POST", "/hello", &bytes), Ask::Report(_)));
+        read += usize::from(peers::decode(&bytes).is_some());
+        let list = StateCall::List { prefix: "live/", after: None };
+        read += usize::from(list.answer(200, &bytes).is_ok());
+        read += usize::from(CloudCall::Catalog.answer(200, &bytes).is_ok());
+    }
+    assert!(read > 1000, "the unchanged ones at least are read: {read}");
+}
+
+#[test]
+fn range_sets_agree_with_plain_sets() {
+    let mut rng = SmallRng::seed_from_u64(2);
+    for _ in 0..200 {
+        let (mut ranges, mut plain) = (RangeSet::new(), BTreeSet::new());
+        for _ in 0..200 {
+            let n = rng.random_range(0..60);
+            match rng.random_bool(0.6) {
+                true => assert_eq!(ranges.insert(n), plain.insert(n)),
+                false => assert_eq!(ranges.remove(n), plain.remove(&n)),
+            }
+            assert!(ranges.iter().eq(plain.iter().copied()));
+            assert_eq!((ranges.len() as usize, ranges.first()), (plain.len(), plain.first().copied()));
+            assert_eq!(ranges.contains(n), plain.contains(&n));
+            assert_eq!(RangeSet::parse(&ranges.to_string(), 60).as_ref(), Some(&ranges));
+        }
+        let part = ranges.within(40);
+        assert!(part.to_string().len() <= 40 && part.iter().all(|n| ranges.contains(n)));
+    }
+    for text in ["3-1", "5,4", "1-2,2-3", "60", "x", "1--2", "4294967296"] {
+        assert_eq!(RangeSet::parse(text, 60), None, "{text}");
+    }
+}
+
+const FILE: &str = r#"
+label = "perch-1"
+area = "a"
+front = "127.0.0.1:1"
+peer_bind = "127.0.0.1:2"
+new_field = { x = 1 }
+[[peers]]
+label = "perch-0"
+area = "b"
+peer_addr = "127.0.0.1:3"
+[services]
+cloud = "127.0.0.1:4"
+state = "127.0.0.1:5"
+[facts]
+size = 2
+zones = ["a", "b"]
+time_bound_ms = 25.0
+[[facts.teams]]
+name = "t"
+cpus = 4.0
+cpus_max = 0.0
+[facts.workers]
+report_s = 1.0
+lease_s = 10.0
+cancel_s = 30.0
+[facts.state]
+rps = 10.0
+write_rps = 10.0
+value_kb = 4.0
+txn_ops = 8
+[facts.cloud]
+rps = 5.0
+list_lag_s = 8.0
+[facts.machine_limits]
+max_sockets = 100
+"#;
+
+#[test]
+fn settings_are_checked() {
+    let settings = Settings::parse(FILE, None).unwrap();
+    assert_eq!((settings.me, settings.nodes.len()), (NodeIx(1), 2));
+    assert!(!settings.teams[&Name::new("t")].is_limited(), "0 is no limit");
+    let broken = [
+        ("lease_s = 10.0", "lease_s = -1.0", "lease_s"),
+        ("lease_s = 10.0", "lease_s = \"ten\"", "line"),
+        ("txn_ops = 8", "txn_ops = 1", "txn_ops"),
+        ("front = \"127.0.0.1:1\"", "front = \"nowhere\"", "line 4"),
+        ("size = 2", "", "size"),
+        ("label = \"perch-0\"", "label = \"perch-1\"", "twice"),
+        ("cpus = 4.0", "cpus = nan", "cpus"),
+    ];
+    for (from, to, word) in broken {
+        let error = Settings::parse(&FILE.replacen(from, to, 1), None).unwrap_err().0;
+        assert!(error.contains(word) && !error.contains('\n'), "{to}: {error}");
+    }
+}
+
+#[test]
+fn operators_properties_are_checked() {
+    let own = |text: &str| Settings::parse(FILE, Some(text)).map(|settings| settings.own);
+    assert_eq!(own("# a comment\nfleet.headroom: 1.5\n").unwrap().headroom, 1.5);
+    assert_eq!(own("claim.life.ms = 5000").unwrap().claim_life.as_millis(), 5000);
+    assert!(own("fleet.hedroom=1.5").unwrap_err().0.contains("no such property"));
+    assert!(own("fleet.headroom=0.5").unwrap_err().0.contains("from 1 to 10"));
+    assert!(own("claim.life.ms=soon").unwrap_err().0.contains("claim.life.ms"));
+}
--- /dev/null
+++ b/tests/world/cloud.rs
@@ -0,0 +1,106 @@
+//! The cloud's stand-in.
+
+use super::workers::Worker;
+use super::*;
+use crowstall::protocol::cloud::{CloudAnswer, Listed, MachineState};
+use crowstall::time::Span;
+use std::collections::VecDeque;
+
+#[derive(Default)]
+pub struct Cloud {
+    done: HashMap<String, Vec<u32>>,
+    next: u32,
+    /// Machines by number, with what the list says of them.
+    there: BTreeMap<u32, (Name, Name, bool, u64)>,
+    past: VecDeque<(u64, Vec<Listed>)>,
+    pub full_until: u64,
+    pub rented: u64,
+    pub deleted: u64,
+}
+
+pub fn types() -> Vec<MachineType> {
+    let kind = |name: &str, cpus: f64, price: f64, spot_price: f64| MachineType {
+        name: Name::new(name),
+        room: Resources { cpus: Amount::new(cpus), gpus: Amount::new(0.0), memory: Amount::new(cpus * 2.0) },
+        cache_gb: 20.0,
+        fetch_gb_per_s: 0.5,
+        price,
+        spot_price,
+        boot: Span::millis(5000),
+        zones: vec![Name::new("east"), Name::new("west")],
+    };
+    vec![kind("small", 4.0, 0.25, 0.1), kind("large", 16.0, 0.9, 0.45)]
+}
+
+impl World {
+    pub fn cloud_handle(&mut self, call: &CloudCall) -> Result<CloudAnswer, CallError> {
+        Ok(match call {
+            CloudCall::Catalog => CloudAnswer::Catalog(types()),
+            CloudCall::Rent { request, kind, zone, spot, count } => {
+                if let Some(machines) = self.cloud.done.get(request) {
+                    return Ok(CloudAnswer::Rented(machines.iter().map(|n| workers::name(*n)).collect()));
+                }
+                let there = self.cloud.there.values().filter(|m| m.0 == *kind && m.1 == *zone && m.2 == *spot).count();
+                let left = 4usize.saturating_sub(there).min(*count as usize);
+                if left == 0 || self.now < self.cloud.full_until {
+                    return Ok(CloudAnswer::NoCapacity);
+                }
+                let mut machines = Vec::new();
+                for _ in 0..left {
+                    let number = self.cloud.next;
+                    self.cloud.next += 1;
+                    self.cloud.rented += 1;
+                    machines.push(number);
+                    self.cloud.there.insert(number, (kind.clone(), zone.clone(), *spot, self.now));
+                    let slow = self.rng.random_range(0..40) == 0;
+                    let boot = if slow { 10_000 * SEC } else { self.rng.random_range(SEC..7 * SEC) };
+                    let mut worker = Worker::new(number, kind.clone(), zone.clone(), *spot, self.now + boot);
+                    worker.faulty = self.rng.random_range(0..25) == 0;
+                    self.workers.insert(number, worker);
+                }
+                self.cloud.done.insert(request.clone(), machines.clone());
+                CloudAnswer::Rented(machines.iter().map(|n| workers::name(*n)).collect())
+            }
+            CloudCall::Delete(machines) => {
+                for machine in machines {
+                    let number = workers::number(machine);
+                    self.cloud.deleted += u64::from(self.cloud.there.remove(&number).is_some());
+                    self.workers.remove(&number);
+                }
+                CloudAnswer::Deleted
+            }
+            CloudCall::List { .. } => {
+                let lag = self.rng.random_range(3 * SEC..10 * SEC);
+                let then = self.now.saturating_sub(lag);
+                let listed = self.cloud.past.iter().rev().find(|(at, _)| *at <= then).map(|(_, list)| list.clone());
+                CloudAnswer::Machines { listed: listed.unwrap_or_default(), more: false }
+            }
+        })
+    }
+
+    pub fn remember_list(&mut self) {
+        let now = self.now;
+        let listed = self.cloud.there.iter().map(|(number, (kind, zone, spot, since))| Listed {
+            id: workers::name(*number),
+            kind: kind.clone(),
+            zone: zone.clone(),
+            spot: *spot,
+            state: match self.workers.get(number).is_some_and(|worker| worker.up_at <= now) {
+                true => MachineState::Running,
+                false => MachineState::Booting,
+            },
+            age: Span(now - since),
+        });
+        let listed = listed.collect();
+        self.cloud.past.push_back((now, listed));
+        if self.cloud.past.len() > 40 {
+            self.cloud.past.pop_front();
+        }
+    }
+
+    /// The cloud takes a machine.
+    pub fn take_machine(&mut self, number: u32) {
+        self.cloud.there.remove(&number);
+        self.workers.remove(&number);
+    }
+}
--- /dev/null
+++ b/tests/world/mod.rs
@@ -0,0 +1,447 @@
+//! A simulated world around real controllers: state service, cloud, workers, users, network and
+//! faults, all in simulated time, with a checker of the rules that looks after each step.
+#![allow(dead_code)]
+
+pub mod cloud;
+pub mod state;
+pub mod users;
+pub mod workers;
+
+use crowstall::config::Settings;
+use crowstall::coordination::{Action, AskId, CallNo, Clock, Controller, Event};
+use crowstall::model::*;
+use crowstall::protocol::cloud::CloudCall;
+use crowstall::protocol::peers::{self, Envelope};
+use crowstall::protocol::state::StateCall;
+use crowstall::protocol::users::Ask;
+use crowstall::protocol::workers::WorkerCall;
+use crowstall::protocol::{CallError, Reply};
+use crowstall::time::Time;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+pub const MS: u64 = 1000;
+pub const SEC: u64 = 1_000_000;
+
+/// A guard that is taken away on purpose, to show that the checker notices.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mutation {
+    /// The world is as it should be.
+    None,
+    /// Writes apply whatever their conditions say.
+    UnconditionalWrites,
+    /// Controllers think that workers' leases run out after a second.
+    ShortLease,
+    /// Controllers renew workers' leases for far longer than a cancellation may take.
+    LongGrace,
+    /// Controllers do not know the teams' limits.
+    NoLimits,
+    /// Workers leave out every third task in their reports.
+    PartialReports,
+    /// Workers never kill tasks when their lease has run out.
+    LeasesIgnored,
+    /// Stop commands do nothing.
+    StopsIgnored,
+    /// Controllers' clocks stand still, so that no right ever runs out.
+    FrozenClocks,
+    /// The machines' types in reports are mixed up.
+    WrongZones,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Host {
+    Node(usize),
+    State,
+    Cloud,
+    Machine(u32),
+    Users,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Cut {
+    pub a: Host,
+    /// None: everybody.
+    pub b: Option<Host>,
+    pub until: u64,
+    /// Packets are held back and delivered afterwards, not lost.
+    pub hold: bool,
+}
+
+/// Who asked a node something.
+#[derive(Clone, Debug)]
+pub enum Origin {
+    User(usize, u64),
+    Worker(u32, u64),
+}
+
+#[derive(Debug)]
+pub enum Happening {
+    Tick { node: usize, life: u64 },
+    AskArrives { node: usize, origin: Origin, ask: Ask },
+    ReplyArrives { origin: Origin, node: usize, reply: Reply },
+    StateArrives { node: usize, life: u64, call: CallNo, request: StateCall },
+    CloudArrives { node: usize, life: u64, call: CallNo, request: CloudCall },
+    WorkerArrives { node: usize, life: u64, call: CallNo, machine: u32, request: WorkerCall },
+    AnswerArrives { node: usize, life: u64, call: CallNo, event: Event },
+    PeerArrives { node: usize, bytes: Vec<u8> },
+    Timeout { node: usize, life: u64, call: CallNo, kind: u8 },
+    Restart { node: usize },
+    WorkersStep,
+    UserStep { user: usize },
+    HoldsEnd,
+}
+
+struct NodeSlot {
+    label: NodeLabel,
+    controller: Option<Controller>,
+    life: u64,
+    skew: f64,
+    /// Outside calls that have no answer yet.
+    pending: BTreeSet<CallNo>,
+    asks: HashMap<u64, Origin>,
+    started: u64,
+}
+
+pub struct World {
+    pub now: u64,
+    pub rng: SmallRng,
+    pub mutation: Mutation,
+    settings: Vec<Settings>,
+    nodes: Vec<NodeSlot>,
+    queue: BTreeMap<(u64, u64), Happening>,
+    next: u64,
+    pub state: state::State,
+    pub cloud: cloud::Cloud,
+    pub workers: BTreeMap<u32, workers::Worker>,
+    pub users: Vec<users::User>,
+    pub cuts: Vec<Cut>,
+    pub broken: Vec<String>,
+    pub trace: Vec<String>,
+    pub starts: u64,
+    pub completed: BTreeSet<(String, u32)>,
+}
+
+const SETTINGS: &str = r#"
+label = "LABEL"
+area = "east"
+front = "10.0.0.1:8080"
+peer_bind = "10.0.0.1:8081"
+PEERS
+[services]
+cloud = "10.2.0.2:8443"
+state = "10.2.0.1:2379"
+[facts]
+size = 3
+zones = ["east", "west"]
+time_bound_ms = 25.0
+something_new = true
+[[facts.teams]]
+name = "limited"
+cpus = 8.0
+cpus_max = 16.0
+gpus = 0.0
+gpus_max = 0.0
+[[facts.teams]]
+name = "free"
+[[facts.objectives]]
+kind = "finished"
+class = "batch"
+within_s = 60.0
+share = 0.9
+[facts.workers]
+report_s = 1.0
+lease_s = 10.0
+gang_wait_s = 30.0
+gang_peer_s = 5.0
+cancel_s = 30.0
+[facts.state]
+rps = 120.0
+write_rps = 30.0
+value_kb = 4.0
+txn_ops = 8
+[facts.cloud]
+rps = 6.0
+list_lag_s = 5.0
+[facts.machine_limits]
+core_share = 0.2
+memory_mb = 40.0
+max_sockets = 700
+"#;
+
+fn settings(me: usize, mutation: Mutation) -> Settings {
+    let mut peers = String::new();
+    for peer in (0..3).filter(|peer| *peer != me) {
+        peers += &format!("[[peers]]\nlabel = \"perch-{peer}\"\narea = \"east\"\npeer_addr = \"10.0.0.{peer}:8081\"\n");
+    }
+    let text = SETTINGS.replace("LABEL", &format!("perch-{me}")).replace("PEERS", &peers);
+    let text = match mutation {
+        Mutation::ShortLease => text.replace("lease_s = 10.0", "lease_s = 1.0"),
+        Mutation::LongGrace => text.replace("cancel_s = 30.0", "cancel_s = 120.0"),
+        Mutation::NoLimits => text.replace("cpus_max = 16.0", "cpus_max = 0.0"),
+        _ => text,
+    };
+    // A lease that is thought short must not shorten the claims too.
+    Settings::parse(&text, Some("claim.life.ms=4000")).expect("the test's settings are valid")
+}
+
+pub const CANCEL: u64 = 30 * SEC;
+pub const LEASE: u64 = 10 * SEC;
+
+impl World {
+    pub fn new(seed: u64, mutation: Mutation) -> World {
+        let rng = SmallRng::seed_from_u64(seed);
+        let mut world = World {
+            now: SEC,
+            rng,
+            mutation,
+            settings: (0..3).map(|node| settings(node, mutation)).collect(),
+            nodes: Vec::new(),
+            queue: BTreeMap::new(),
+            next: 0,
+            state: state::State::default(),
+            cloud: cloud::Cloud::default(),
+            workers: BTreeMap::new(),
+            users: Vec::new(),
+            cuts: Vec::new(),
+            broken: Vec::new(),
+            trace: Vec::new(),
+            starts: 0,
+            completed: BTreeSet::new(),
+        };
+        for node in 0..3 {
+            let skew = 1.0 + world.rng.random_range(-0.0002..0.0002);
+            world.nodes.push(NodeSlot {
+                label: NodeLabel::new(&format!("perch-{node}")),
+                controller: None,
+                life: 0,
+                skew,
+                pending: BTreeSet::new(),
+                asks: HashMap::new(),
+                started: 0,
+            });
+            let at = world.now + world.rng.random_range(0..300 * MS);
+            world.at(at, Happening::Restart { node });
+        }
+        world.at(SEC, Happening::WorkersStep);
+        world.at(SEC, Happening::HoldsEnd);
+        world
+    }
+
+    pub fn at(&mut self, time: u64, happening: Happening) {
+        self.next += 1;
+        self.queue.insert((time, self.next), happening);
+    }
+
+    pub fn fail(&mut self, rule: &str, what: String) {
+        if self.broken.len() < 20 {
+            self.broken.push(format!("{:.3} s: {rule}: {what}", self.now as f64 / 1e6));
+        }
+    }
+
+    pub fn note(&mut self, what: impl Fn() -> String) {
+        if std::env::var_os("WORLD_TRACE").is_some() {
+            self.trace.push(format!("{:.3} {}", self.now as f64 / 1e6, what()));
+        }
+    }
+
+    fn clock(&self, node: usize) -> Clock {
+        let slot = &self.nodes[node];
+        let run = match self.mutation {
+            // Goes on for long enough to start up, then stands still for a while.
+            Mutation::FrozenClocks if self.now / (20 * SEC) % 2 == 1 => self.now / (20 * SEC) * 20 * SEC,
+            _ => self.now,
+        };
+        let steady = (run.saturating_sub(slot.started) as f64 * slot.skew) as u64 + SEC;
+        Clock { steady: Time(steady), day_ms: 1_700_000_000_000 + self.now / 1000 }
+    }
+
+    /// The way between two hosts: when a packet sent now arrives, if it does.
+    pub fn way(&mut self, from: Host, to: Host) -> Option<u64> {
+        let mut at = self.now + self.rng.random_range(300..2500);
+        if self.rng.random_bool(0.003) {
+            at += self.rng.random_range(100 * MS..600 * MS);
+        }
+        for cut in &self.cuts {
+            let between = |x: Host, y: Host| (cut.a == x) && cut.b.is_none_or(|b| b == y);
+            if cut.until > self.now && (between(from, to) || between(to, from)) {
+                if !cut.hold {
+                    return None;
+                }
+                at = at.max(cut.until + self.rng.random_range(0..20 * MS));
+            }
+        }
+        Some(at)
+    }
+
+    pub fn crash(&mut self, node: usize, down: u64) {
+        self.note(|| format!("node {node} crashes"));
+        self.nodes[node].controller = None;
+        self.nodes[node].pending.clear();
+        self.nodes[node].asks.clear();
+        let at = self.now + down;
+        self.at(at, Happening::Restart { node });
+    }
+
+    pub fn is_up(&self, node: usize) -> bool {
+        self.nodes[node].controller.is_some()
+    }
+
+    pub fn run_until(&mut self, end: u64) {
+        while let Some((&(time, _), _)) = self.queue.first_key_value() {
+            if time > end || !self.broken.is_empty() {
+                break;
+            }
+            let Some(((time, _), happening)) = self.queue.pop_first() else { break };
+            self.now = time;
+            self.happen(happening);
+        }
+        self.now = self.now.max(end);
+    }
+
+    fn deliver(&mut self, node: usize, event: Event) {
+        let clock = self.clock(node);
+        let Some(controller) = &mut self.nodes[node].controller else { return };
+        let actions = controller.handle(clock, event);
+        for action in actions {
+            self.act(node, action);
+        }
+    }
+
+    fn act(&mut self, node: usize, action: Action) {
+        let life = self.nodes[node].life;
+        let me = Host::Node(node);
+        let timeout = |world: &mut World, call: CallNo, after: u64, kind: u8| {
+            world.nodes[node].pending.insert(call);
+            let at = world.now + after;
+            world.at(at, Happening::Timeout { node, life, call, kind });
+        };
+        match action {
+            Action::Reply { id, reply } => {
+                let Some(origin) = self.nodes[node].asks.remove(&id.0) else { return };
+                let to = match origin {
+                    Origin::User(..) => Host::Users,
+                    Origin::Worker(machine, _) => Host::Machine(machine),
+                };
+                if let Some(at) = self.way(me, to) {
+                    self.at(at, Happening::ReplyArrives { origin, node, reply });
+                }
+            }
+            Action::State { call, request } => {
+                timeout(self, call, 1200 * MS, 0);
+                if let Some(at) = self.way(me, Host::State) {
+                    self.at(at, Happening::StateArrives { node, life, call, request });
+                }
+            }
+            Action::Cloud { call, request } => {
+                timeout(self, call, 5000 * MS, 1);
+                if let Some(at) = self.way(me, Host::Cloud) {
+                    let late = if self.rng.random_bool(0.02) { self.rng.random_range(0..30 * SEC) } else { 100 * MS };
+                    self.at(at + late, Happening::CloudArrives { node, life, call, request });
+                }
+            }
+            Action::Worker { call, addr, request } => {
+                timeout(self, call, 2000 * MS, 2);
+                let machine = workers::machine_at(addr);
+                if let Some(at) = self.way(me, Host::Machine(machine)) {
+                    self.at(at, Happening::WorkerArrives { node, life, call, machine, request });
+                }
+            }
+            Action::Send { to, message } => {
+                let Some(peer) = self.nodes.iter().position(|slot| slot.label == to) else { return };
+                let envelope = Envelope { from: self.nodes[node].label.clone(), message };
+                let bytes = peers::encode(&envelope);
+                if let Some(at) = self.way(me, Host::Node(peer)) {
+                    self.at(at, Happening::PeerArrives { node: peer, bytes });
+                }
+            }
+        }
+    }
+
+    /// Sends an answer back to a node; it may get lost.
+    fn answer(&mut self, node: usize, life: u64, call: CallNo, from: Host, event: Event) {
+        if let Some(at) = self.way(from, Host::Node(node)) {
+            self.at(at, Happening::AnswerArrives { node, life, call, event });
+        }
+    }
+
+    fn happen(&mut self, happening: Happening) {
+        match happening {
+            Happening::Tick { node, life } => {
+                if self.nodes[node].life == life && self.is_up(node) {
+                    self.deliver(node, Event::Tick);
+                    let at = self.now + 100 * MS;
+                    self.at(at, Happening::Tick { node, life });
+                }
+            }
+            Happening::Restart { node } => {
+                let slot = &mut self.nodes[node];
+                slot.life += 1;
+                slot.started = self.now;
+                let life = slot.life;
+                let seed: u64 = self.rng.random();
+                let clock = self.clock(node);
+                self.nodes[node].controller = Some(Controller::new(self.settings[node].clone(), seed, clock));
+                let at = self.now + 1;
+                self.at(at, Happening::Tick { node, life });
+            }
+            Happening::AskArrives { node, origin, ask } => {
+                if self.is_up(node) {
+                    self.next += 1;
+                    let id = self.next;
+                    self.nodes[node].asks.insert(id, origin);
+                    self.deliver(node, Event::Ask { id: AskId(id), ask });
+                }
+            }
+            Happening::ReplyArrives { origin, node, reply } => match origin {
+                Origin::User(user, try_no) => self.user_answered(user, try_no, &reply),
+                Origin::Worker(machine, report) => self.report_answered(machine, report, node, &reply),
+            },
+            Happening::StateArrives { node, life, call, request } => {
+                let answer = self.state.handle(self.now, node, &request, self.mutation);
+                self.answer(node, life, call, Host::State, Event::State { call, answer });
+            }
+            Happening::CloudArrives { node, life, call, request } => {
+                let answer = self.cloud_handle(&request);
+                self.answer(node, life, call, Host::Cloud, Event::Cloud { call, answer });
+            }
+            Happening::WorkerArrives { node, life, call, machine, request } => {
+                if let Some(answer) = self.worker_commanded(machine, &request) {
+                    let event = Event::Worker { call, answer: Ok(answer) };
+                    self.answer(node, life, call, Host::Machine(machine), event);
+                }
+            }
+            Happening::AnswerArrives { node, life, call, event } => {
+                if self.nodes[node].life == life && self.nodes[node].pending.remove(&call) {
+                    self.deliver(node, event);
+                }
+            }
+            Happening::Timeout { node, life, call, kind } => {
+                if self.nodes[node].life == life && self.nodes[node].pending.remove(&call) {
+                    let event = match kind {
+                        0 => Event::State { call, answer: Err(CallError::NoAnswer) },
+                        1 => Event::Cloud { call, answer: Err(CallError::NoAnswer) },
+                        _ => Event::Worker { call, answer: Err(CallError::NoAnswer) },
+                    };
+                    self.deliver(node, event);
+                }
+            }
+            Happening::PeerArrives { node, bytes } => {
+                if let Some(envelope) = peers::decode(&bytes) {
+                    self.deliver(node, Event::Peer(envelope));
+                }
+            }
+            Happening::WorkersStep => {
+                self.step_workers();
+                let at = self.now + 50 * MS;
+                self.at(at, Happening::WorkersStep);
+            }
+            Happening::UserStep { user } => self.user_step(user),
+            Happening::HoldsEnd => {
+                self.state.end_holds(self.now);
+                let at = self.now + 50 * MS;
+                self.at(at, Happening::HoldsEnd);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/tests/world/state.rs
@@ -0,0 +1,132 @@
+//! The state service's stand-in.
+
+use super::{MS, Mutation, SEC};
+use crowstall::model::*;
+use crowstall::protocol::CallError;
+use crowstall::protocol::state::{Change, Entry, StateAnswer, StateCall};
+use std::collections::{BTreeMap, HashMap};
+
+#[derive(Default)]
+pub struct State {
+    keys: BTreeMap<String, Entry>,
+    tally: u64,
+    holds: HashMap<u64, (u64, u64)>,
+    next_hold: u64,
+    pub outage_until: u64,
+    pub refused_until: [u64; 3],
+    writes: (u64, usize),
+    pub most_writes: usize,
+}
+
+impl State {
+    pub fn start_outage(&mut self, now: u64, length: u64) {
+        self.outage_until = now + length;
+        // After an outage, every lease has its full time again.
+        for (end, life) in self.holds.values_mut() {
+            *end = now + length + *life;
+        }
+    }
+
+    pub fn end_holds(&mut self, now: u64) {
+        if now < self.outage_until {
+            return;
+        }
+        let ended: Vec<u64> = self.holds.iter().filter(|(_, (end, _))| *end <= now).map(|(id, _)| *id).collect();
+        for id in ended {
+            self.holds.remove(&id);
+            let gone: Vec<String> = self
+                .keys
+                .iter()
+                .filter(|(_, entry)| entry.hold == Some(HoldId(id)))
+                .map(|(key, _)| key.clone())
+                .collect();
+            for key in gone {
+                self.keys.remove(&key);
+                self.tally += 1;
+            }
+        }
+    }
+
+    fn version(&self, key: &str) -> u64 {
+        self.keys.get(key).map_or(0, |entry| entry.version.0)
+    }
+
+    pub fn handle(
+        &mut self,
+        now: u64,
+        node: usize,
+        call: &StateCall,
+        mutation: Mutation,
+    ) -> Result<StateAnswer, CallError> {
+        if now < self.outage_until || now < self.refused_until[node] {
+            return Err(CallError::Refused { over_limit: false });
+        }
+        if self.writes.0 != now / SEC {
+            self.writes = (now / SEC, 0);
+        }
+        self.writes.1 += call.writes();
+        self.most_writes = self.most_writes.max(self.writes.1);
+        if self.writes.1 > 60 {
+            return Err(CallError::Refused { over_limit: true });
+        }
+        Ok(match call {
+            StateCall::Get(key) => match self.keys.get(key) {
+                Some(entry) => StateAnswer::Found(entry.clone()),
+                None => StateAnswer::Missing,
+            },
+            StateCall::List { prefix, after } => {
+                let fits = |key: &String| key.starts_with(prefix) && after.as_ref().is_none_or(|after| key > after);
+                let entries: Vec<Entry> =
+                    self.keys.iter().filter(|(key, _)| fits(key)).map(|(_, entry)| entry.clone()).take(21).collect();
+                let more = entries.len() > 20;
+                StateAnswer::Page { entries: entries.into_iter().take(20).collect(), more }
+            }
+            StateCall::Grant { life_ms } => {
+                self.next_hold += 1;
+                let life = life_ms * MS;
+                self.holds.insert(self.next_hold, (now + life, life));
+                StateAnswer::Granted(HoldId(self.next_hold))
+            }
+            StateCall::Touch(id) => match self.holds.get_mut(&id.0) {
+                Some((end, life)) => {
+                    *end = now + *life;
+                    StateAnswer::Touched
+                }
+                None => StateAnswer::NoHold,
+            },
+            StateCall::Commit { conditions, changes } => {
+                assert!(changes.len() <= 8 && conditions.len() <= 32, "a transaction is too large");
+                let dead = changes.iter().any(|change| match change {
+                    Change::Put { hold: Some(hold), .. } => !self.holds.contains_key(&hold.0),
+                    _ => false,
+                });
+                if dead {
+                    return Ok(StateAnswer::NoHold);
+                }
+                let failed: Vec<String> = conditions
+                    .iter()
+                    .filter(|(key, version)| self.version(key) != version.0)
+                    .map(|(key, _)| key.clone())
+                    .collect();
+                if !failed.is_empty() && mutation != Mutation::UnconditionalWrites {
+                    return Ok(StateAnswer::Conflict(failed));
+                }
+                self.tally += 1;
+                let version = Revision(self.tally);
+                for change in changes {
+                    match change {
+                        Change::Put { key, value, hold } => {
+                            assert!(value.to_string().len() <= 4096, "a value is too large");
+                            let (key, value, hold) = (key.clone(), value.clone(), *hold);
+                            self.keys.insert(key.clone(), Entry { key, value, version, hold });
+                        }
+                        Change::Delete(key) => {
+                            self.keys.remove(key);
+                        }
+                    }
+                }
+                StateAnswer::Committed(version)
+            }
+        })
+    }
+}
--- /dev/null
+++ b/tests/world/users.rs
@@ -0,0 +1,136 @@
+//! Users, and the rules about what they are told.
+
+use super::*;
+
+pub struct User {
+    pub spec: JobSpec,
+    pub run: u64,
+    /// Submitted with a mistake: its tasks fail on every machine.
+    pub fails: bool,
+    pub submit_at: u64,
+    pub cancel_after: Option<u64>,
+    pub accepted_at: Option<u64>,
+    pub cancelled_at: Option<u64>,
+    pub done_at: Option<u64>,
+    pub asked_to_cancel: bool,
+    given_up: bool,
+    try_no: u64,
+    asking: Asking,
+    answered: bool,
+    deaf_since: Option<u64>,
+}
+
+#[derive(Clone, Copy, PartialEq, Debug)]
+enum Asking {
+    Nothing,
+    Submit,
+    Poll,
+    Cancel,
+}
+
+impl World {
+    pub fn add_user(&mut self, spec: JobSpec, run: u64, submit_at: u64, cancel_after: Option<u64>, fails: bool) {
+        let user = self.users.len();
+        self.users.push(User {
+            spec,
+            run,
+            fails,
+            submit_at,
+            cancel_after,
+            accepted_at: None,
+            cancelled_at: None,
+            done_at: None,
+            asked_to_cancel: false,
+            given_up: false,
+            try_no: 0,
+            asking: Asking::Nothing,
+            answered: true,
+            deaf_since: None,
+        });
+        self.at(submit_at, Happening::UserStep { user });
+    }
+
+    fn healthy_node(&mut self) -> Option<usize> {
+        let up: Vec<usize> = (0..3).filter(|node| self.is_up(*node)).collect();
+        (!up.is_empty()).then(|| up[self.rng.random_range(0..up.len())])
+    }
+
+    pub fn user_step(&mut self, at: usize) {
+        let now = self.now;
+        let roll: u32 = self.rng.random_range(0..100);
+        let user = &mut self.users[at];
+        if user.given_up {
+            return;
+        }
+        user.try_no += 1;
+        let over = user.cancelled_at.is_some() || user.done_at.is_some();
+        let id = user.spec.id.clone();
+        let (asking, ask, again) = if user.accepted_at.is_none() {
+            if now > user.submit_at + 60 * SEC {
+                user.given_up = true;
+                return;
+            }
+            (Asking::Submit, Ask::Submit(Ok(user.spec.clone())), SEC)
+        } else if roll < 8 {
+            // A retry that comes late, also after the job is over.
+            (Asking::Submit, Ask::Submit(Ok(user.spec.clone())), 2 * SEC)
+        } else if !over && user.cancel_after.is_some_and(|after| now > user.submit_at + after) {
+            user.asked_to_cancel = true;
+            (Asking::Cancel, Ask::Cancel(id), SEC)
+        } else {
+            (Asking::Poll, Ask::Poll(id), if over { 9 * SEC } else { 3 * SEC })
+        };
+        user.asking = asking;
+        user.answered = false;
+        let try_no = user.try_no;
+        let again = now + again + self.rng.random_range(0..SEC);
+        self.at(again, Happening::UserStep { user: at });
+        let Some(node) = self.healthy_node() else { return };
+        if let Some(arrives) = self.way(Host::Users, Host::Node(node)) {
+            self.at(arrives, Happening::AskArrives { node, origin: Origin::User(at, try_no), ask });
+        }
+    }
+
+    pub fn user_answered(&mut self, at: usize, try_no: u64, reply: &Reply) {
+        let now = self.now;
+        let user = &mut self.users[at];
+        if user.try_no != try_no || user.answered {
+            return;
+        }
+        user.answered = true;
+        let asking = user.asking;
+        let id = user.spec.id.clone();
+        let known = user.accepted_at.is_some();
+        match reply.status {
+            200 | 201 => {}
+            404 if known => return self.fail("forgotten", format!("{id} gets 404")),
+            400 | 422 if known => return self.fail("forgotten", format!("{id} gets {}", reply.status)),
+            _ => return,
+        }
+        let body: serde_json::Value = serde_json::from_str(&reply.body).unwrap_or_default();
+        let state = body["mood"].as_str().unwrap_or_default().to_string();
+        let tasks = user.spec.tasks;
+        if asking == Asking::Submit && !known {
+            user.accepted_at = Some(now);
+        }
+        if user.done_at.is_some() && state != "done" || user.cancelled_at.is_some() && state != "withdrawn" {
+            return self.fail("went_back", format!("{id} is called {state}"));
+        }
+        match state.as_str() {
+            "done" => {
+                user.done_at.get_or_insert(now);
+                let complete = (0..tasks).all(|task| self.completed.contains(&(id.to_string(), task)));
+                if !complete {
+                    self.fail("not_done", format!("{id} is called done"));
+                }
+            }
+            "withdrawn" => {
+                if !user.asked_to_cancel {
+                    return self.fail("went_back", format!("{id} is called cancelled"));
+                }
+                user.cancelled_at.get_or_insert(now);
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/tests/world/workers.rs
@@ -0,0 +1,419 @@
+//! The workers' stand-in, as strict as the protocol says, and the rules about what is on a machine.
+
+use super::*;
+use crowstall::protocol::workers::{Exit, Report, TaskReport, TaskState, WorkerAnswer};
+use crowstall::time::Span;
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+pub fn name(number: u32) -> MachineId {
+    MachineId::new(&format!("i-{number:06}"))
+}
+
+pub fn number(machine: &MachineId) -> u32 {
+    machine.as_str().trim_start_matches("i-").parse().unwrap_or(u32::MAX)
+}
+
+pub fn machine_at(addr: SocketAddrV4) -> u32 {
+    u32::from(addr.port()) - 1000
+}
+
+#[derive(Clone, Debug)]
+pub struct Task {
+    pub state: TaskState,
+    pub until: u64,
+    pub ran_from: u64,
+}
+
+pub struct Worker {
+    pub number: u32,
+    pub kind: Name,
+    pub zone: Name,
+    pub spot: bool,
+    pub up_at: u64,
+    pub hung_until: u64,
+    pub faulty: bool,
+    pub notice_at: Option<u64>,
+    session: u64,
+    seq: u64,
+    token: u64,
+    lease_from: Option<u64>,
+    pub tasks: BTreeMap<(TaskId, u64), Task>,
+    node: usize,
+    next_report: u64,
+    last_report: u64,
+    changed: bool,
+    /// The report in flight: its number, when it was sent, in which session, and to whom.
+    flight: Option<(u64, u64, u64)>,
+    held: Vec<(usize, u64, CallNo, WorkerCall)>,
+}
+
+impl Worker {
+    pub fn new(number: u32, kind: Name, zone: Name, spot: bool, up_at: u64) -> Worker {
+        Worker {
+            number,
+            kind,
+            zone,
+            spot,
+            up_at,
+            hung_until: 0,
+            faulty: false,
+            notice_at: None,
+            session: 1,
+            seq: 0,
+            token: 0,
+            lease_from: None,
+            tasks: BTreeMap::new(),
+            node: number as usize % 3,
+            next_report: up_at,
+            last_report: 0,
+            changed: false,
+            flight: None,
+            held: Vec::new(),
+        }
+    }
+
+    fn room(&self) -> Resources {
+        let kind = cloud::types().into_iter().find(|kind| kind.name == self.kind);
+        kind.map(|kind| kind.room).unwrap_or_default()
+    }
+
+    fn report(&mut self, now: u64) -> Report {
+        self.seq += 1;
+        let tasks = self.tasks.iter().map(|((task, attempt), state)| TaskReport {
+            task: task.clone(),
+            attempt: AttemptNo(*attempt),
+            state: state.state,
+        });
+        Report {
+            machine: name(self.number),
+            addr: SocketAddrV4::new(Ipv4Addr::new(10, 1, 0, 1), 1000 + self.number as u16),
+            kind: self.kind.clone(),
+            zone: self.zone.clone(),
+            spot: self.spot,
+            session: Session(self.session),
+            seq: Seq(self.seq),
+            token: Token(self.token),
+            notice: self.notice_at.map(|at| Span(at.saturating_sub(now))),
+            tasks: tasks.collect(),
+        }
+    }
+}
+
+/// On its machine: from the moment it has its image until it is over.
+fn is_on(state: TaskState) -> bool {
+    matches!(state, TaskState::Running | TaskState::Saving)
+}
+
+impl World {
+    pub fn step_workers(&mut self) {
+        if self.now / SEC != (self.now - 50 * MS) / SEC {
+            self.remember_list();
+        }
+        let numbers: Vec<u32> = self.workers.keys().copied().collect();
+        for number in numbers {
+            self.step_worker(number);
+        }
+        self.check_machines();
+    }
+
+    fn step_worker(&mut self, number: u32) {
+        let now = self.now;
+        let mutation = self.mutation;
+        let Some(worker) = self.workers.get_mut(&number) else { return };
+        if now < worker.up_at {
+            return;
+        }
+        if worker.notice_at.is_some_and(|at| now >= at) {
+            return self.take_machine(number);
+        }
+        let lease_from = *worker.lease_from.get_or_insert(worker.up_at);
+        if now.saturating_sub(lease_from) > LEASE && mutation != Mutation::LeasesIgnored {
+            worker.tasks.clear();
+            worker.session += 1;
+            worker.lease_from = Some(now);
+            worker.changed = true;
+        }
+        if now < worker.hung_until {
+            return;
+        }
+        let due: Vec<(TaskId, u64)> = worker
+            .tasks
+            .iter()
+            .filter(|(_, task)| !matches!(task.state, TaskState::Exited(_)) && task.until <= now)
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in due {
+            self.advance(number, key);
+        }
+        let Some(worker) = self.workers.get_mut(&number) else { return };
+        for (node, life, call, request) in std::mem::take(&mut worker.held) {
+            if let Some(answer) = self.worker_commanded(number, &request) {
+                let event = Event::Worker { call, answer: Ok(answer) };
+                self.answer(node, life, call, Host::Machine(number), event);
+            }
+        }
+        let Some(worker) = self.workers.get_mut(&number) else { return };
+        if let Some((_, sent, _)) = worker.flight {
+            if now - sent <= 4 * SEC {
+                return;
+            }
+            worker.flight = None;
+            worker.node = (worker.node + 1) % 3;
+            worker.next_report = now + SEC;
+        }
+        let due = now >= worker.next_report || (worker.changed && now >= worker.last_report + 500 * MS);
+        if !due || (worker.next_report > now && worker.next_report > worker.last_report + 2 * SEC) {
+            return;
+        }
+        worker.changed = false;
+        worker.last_report = now;
+        let node = worker.node;
+        let mut report = worker.report(now);
+        if mutation == Mutation::WrongZones {
+            report.zone = Name::new(if report.zone.as_str() == "east" { "west" } else { "east" });
+        }
+        if mutation == Mutation::PartialReports {
+            report.tasks.retain(|task| task.attempt.0 % 3 > 0);
+        }
+        let id = report.seq.0;
+        worker.flight = Some((id, now, worker.session));
+        let gap = self.rng.random_range(750 * MS..1250 * MS);
+        let at = self.way(Host::Machine(number), Host::Node(node));
+        if let Some(worker) = self.workers.get_mut(&number) {
+            worker.next_report = now + gap;
+            if self.nodes[node].controller.is_none() {
+                // Refused at once.
+                worker.flight = None;
+                worker.node = (node + 1) % 3;
+                worker.next_report = now + SEC;
+                return;
+            }
+        }
+        if let Some(at) = at {
+            let origin = Origin::Worker(number, id);
+            self.at(at, Happening::AskArrives { node, origin, ask: Ask::Report(Box::new(report)) });
+        }
+    }
+
+    /// A task's next step: it has its image, or it is over.
+    fn advance(&mut self, number: u32, key: (TaskId, u64)) {
+        let now = self.now;
+        let finished = self.completed.contains(&(key.0.job.to_string(), key.0.task.0));
+        let run = self.users.iter().find(|user| user.spec.id == key.0.job).map(|user| (user.run, user.fails));
+        let Some(worker) = self.workers.get_mut(&number) else { return };
+        let faulty = worker.faulty;
+        let Some(task) = worker.tasks.get_mut(&key) else { return };
+        worker.changed = true;
+        match task.state {
+            TaskState::Fetching => {
+                let (run, fails) = run.unwrap_or((SEC, false));
+                task.state = TaskState::Running;
+                task.ran_from = now;
+                task.until = if finished { now } else { now.saturating_add(run) };
+                if faulty || fails {
+                    task.until = now + 200 * MS;
+                }
+                self.check_start(number, &key.0);
+            }
+            TaskState::Running => {
+                let fails = run.is_some_and(|(_, fails)| fails) || faulty;
+                let exit = if fails && !finished { Exit::Error } else { Exit::Done };
+                task.state = TaskState::Exited(exit);
+                if exit == Exit::Done {
+                    self.completed.insert((key.0.job.to_string(), key.0.task.0));
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn execute(&mut self, number: u32, commands: &[serde_json::Value]) {
+        let now = self.now;
+        for command in commands {
+            let Some(id) = command["egg"].as_str().and_then(TaskId::parse) else { continue };
+            let attempt = command["hatch"].as_u64().unwrap_or(0);
+            let key = (id.clone(), attempt);
+            let fetch = self.rng.random_range(100 * MS..1500 * MS);
+            let spec = self.users.iter().find(|user| user.spec.id == id.job).map(|user| user.spec.clone());
+            let Some(worker) = self.workers.get_mut(&number) else { return };
+            match command["call"].as_str() {
+                Some("run") => {
+                    if worker.tasks.contains_key(&key) {
+                        continue;
+                    }
+                    let used = worker.tasks.iter().filter(|(_, task)| !matches!(task.state, TaskState::Exited(_)));
+                    let busy = used.clone().any(|((other, _), _)| *other == id);
+                    let mut room = worker.room();
+                    for ((other, _), _) in used {
+                        if let Some(user) = self.users.iter().find(|user| user.spec.id == other.job) {
+                            room = room.minus(&user.spec.needs);
+                        }
+                    }
+                    let state = match spec {
+                        None => TaskState::Exited(Exit::Unknown),
+                        Some(_) if busy => TaskState::Exited(Exit::Busy),
+                        Some(spec) if !spec.needs.fits_in(&room) => TaskState::Exited(Exit::NoRoom),
+                        Some(_) => TaskState::Fetching,
+                    };
+                    worker.tasks.insert(key, Task { state, until: now + fetch, ran_from: now });
+                    worker.changed = true;
+                }
+                Some("stop") if self.mutation != Mutation::StopsIgnored => {
+                    if let Some(task) = worker.tasks.get_mut(&key)
+                        && !matches!(task.state, TaskState::Exited(_))
+                    {
+                        task.state = TaskState::Exited(Exit::Stopped);
+                        worker.changed = true;
+                    }
+                }
+                Some("forget")
+                    if worker.tasks.get(&key).is_some_and(|task| matches!(task.state, TaskState::Exited(_))) =>
+                {
+                    worker.tasks.remove(&key);
+                    worker.changed = true;
+                }
+                _ => {}
+            }
+        }
+    }
+
+    pub fn report_answered(&mut self, number: u32, report: u64, node: usize, reply: &Reply) {
+        let now = self.now;
+        let Some(worker) = self.workers.get_mut(&number) else { return };
+        let Some((_, sent, session)) = worker.flight.filter(|(id, ..)| *id == report) else { return };
+        if now < worker.hung_until {
+            // Read when it goes on; by then it is usually too old.
+            let at = worker.hung_until + MS;
+            let origin = Origin::Worker(number, report);
+            return self.at(at, Happening::ReplyArrives { origin, node, reply: reply.clone() });
+        }
+        worker.flight = None;
+        if now - sent > 4 * SEC {
+            worker.node = (worker.node + 1) % 3;
+            worker.next_report = now + SEC;
+            return;
+        }
+        let body: serde_json::Value = serde_json::from_str(&reply.body).unwrap_or_default();
+        match reply.status {
+            200 => {
+                let token = body["crest"].as_u64();
+                if session != worker.session {
+                    return;
+                }
+                if token.is_none_or(|token| token < worker.token) {
+                    return;
+                }
+                if token.is_some_and(|token| token > worker.token) {
+                    worker.token = token.unwrap_or(0);
+                    worker.changed = true;
+                }
+                worker.lease_from = Some(sent);
+                let commands = body["calls"].as_array().cloned().unwrap_or_default();
+                self.execute(number, &commands);
+            }
+            421 if body["rookery"].is_string() => {
+                let label = body["rookery"].as_str().unwrap_or_default().to_string();
+                match self.nodes.iter().position(|slot| slot.label.as_str() == label) {
+                    Some(to) if to != node => {
+                        worker.node = to;
+                        worker.next_report = now + self.rng.random_range(0..500 * MS);
+                    }
+                    _ => {
+                        worker.node = (node + 1) % 3;
+                        worker.next_report = now + SEC;
+                    }
+                }
+            }
+            _ => {
+                worker.node = (node + 1) % 3;
+                worker.next_report = now + SEC;
+            }
+        }
+    }
+
+    pub fn worker_commanded(&mut self, number: u32, request: &WorkerCall) -> Option<WorkerAnswer> {
+        let now = self.now;
+        let worker = self.workers.get_mut(&number).filter(|worker| now >= worker.up_at)?;
+        if now < worker.hung_until {
+            worker.held.push((0, 0, CallNo(0), request.clone()));
+            return None;
+        }
+        let stale = request.token.0 < worker.token;
+        if stale || request.session.0 != worker.session {
+            let report = worker.report(now);
+            return Some(WorkerAnswer::Rejected(Box::new(report)));
+        }
+        if request.token.0 > worker.token {
+            worker.token = request.token.0;
+            worker.changed = true;
+        }
+        let commands = serde_json::to_value(&request.commands).unwrap_or_default();
+        self.execute(number, &commands.as_array().cloned().unwrap_or_default());
+        let worker = self.workers.get_mut(&number)?;
+        Some(WorkerAnswer::Executed(Box::new(worker.report(now))))
+    }
+
+    /// The rules about a start.
+    fn check_start(&mut self, number: u32, id: &TaskId) {
+        self.starts += 1;
+        let Some(user) = self.users.iter().find(|user| user.spec.id == id.job) else {
+            return self.fail("invented", format!("{id} was started"));
+        };
+        let spec = user.spec.clone();
+        let late = user.cancelled_at.is_some_and(|at| self.now > at + CANCEL);
+        if late {
+            self.fail("ran_cancelled", format!("{id} starts on {number}"));
+        }
+        let Some(here) = self.workers.get(&number) else { return };
+        let (kind, zone, spot) = (here.kind.clone(), here.zone.clone(), here.spot);
+        let mut twice = None;
+        let (mut same_zone, mut other_zone) = (0, 0);
+        for worker in self.workers.values() {
+            for ((other, _), task) in worker.tasks.iter().filter(|(_, task)| is_on(task.state)) {
+                if other == id && worker.number != number {
+                    twice = Some(worker.number);
+                }
+                if other.job == id.job && other != id {
+                    match worker.zone == zone {
+                        true => same_zone += 1,
+                        false => other_zone += 1,
+                    }
+                }
+                let _ = task;
+            }
+        }
+        if let Some(other) = twice {
+            self.fail("ran_twice", format!("{id} starts on {number} while on {other}"));
+        }
+        let wrong = !spec.allows_type(&kind)
+            || !spec.allows_zone(&zone)
+            || (spot && !spec.spot)
+            || (spec.one_zone && other_zone > 0)
+            || (spec.spread && same_zone + 1 > spec.tasks.div_ceil(2));
+        if wrong {
+            self.fail("wrong_place", format!("{id} starts on {number} ({kind}, {zone}, spot {spot})"));
+        }
+    }
+
+    fn check_machines(&mut self) {
+        let mut used = 0;
+        let mut late = None;
+        for worker in self.workers.values() {
+            for ((id, _), _) in worker.tasks.iter().filter(|(_, task)| is_on(task.state)) {
+                let Some(user) = self.users.iter().find(|user| user.spec.id == id.job) else { continue };
+                if user.spec.team.as_str() == "limited" {
+                    used += user.spec.needs.cpus.0;
+                }
+                if user.cancelled_at.is_some_and(|at| self.now > at + CANCEL) {
+                    late = Some(id.clone());
+                }
+            }
+        }
+        if used > Amount::new(16.0).0 {
+            self.fail("quota", format!("the limited team uses {} cpus", used / 1_000_000));
+        }
+        if let Some(id) = late {
+            self.fail("ran_cancelled", format!("{id} is on a machine still"));
+        }
+    }
+}
