Count machines that have not answered towards every team's limit

A job cancelled just before a takeover is not among the live ones the new holder loads, yet its tasks run until they are told to stop.

--- a/src/coordination/shard.rs
+++ b/src/coordination/shard.rs
@@ -337,37 +337,22 @@
         }
     }
 
+    /// What a team may be using just now, at the most.
     pub fn team_usage(&self, team: &Name, types: &HashMap<Name, MachineType>) -> Resources {
         let located = self.usage.get(team).copied().unwrap_or_default();
-        // Attempts that have not been found count as running, but no more of them than the
-        // machines that have not answered can hold.
-        let mut hidden = Resources::default();
-        for job in self.jobs.values().filter(|job| job.spec.team == *team) {
-            let count = job.unlocated.len() as u64;
-            if count > 0 {
-                let needs = job.spec.needs;
-                hidden = hidden.plus(&Resources {
-                    cpus: Amount(needs.cpus.0 * count),
-                    gpus: Amount(needs.gpus.0 * count),
-                    memory: Amount(needs.memory.0 * count),
-                });
-            }
-        }
-        if hidden == Resources::default() {
-            return located;
-        }
-        let mut most = Resources::default();
-        for machine in self.machines.values().filter(|machine| !machine.proven) {
-            match types.get(&machine.kind) {
-                Some(kind) => most = most.plus(&kind.room),
-                None => return located.plus(&hidden),
-            }
-        }
-        located.plus(&Resources {
-            cpus: hidden.cpus.min(most.cpus),
-            gpus: hidden.gpus.min(most.gpus),
-            memory: hidden.memory.min(most.memory),
-        })
+        // A machine that has not answered this holder may be full of the team's tasks, and not
+        // only of jobs that are still live: those of a job that was cancelled just before the
+        // takeover run until they are told to stop. The same goes for a machine with an attempt
+        // whose job has ended, since its team is not known any more.
+        let dark = |machine: &&Machine| {
+            !machine.proven
+                || machine.attempts.values().any(|attempt| !attempt.is_over() && attempt.team.as_str().is_empty())
+        };
+        let everything = Resources { cpus: Amount(u64::MAX), gpus: Amount(u64::MAX), memory: Amount(u64::MAX) };
+        self.machines
+            .values()
+            .filter(dark)
+            .fold(located, |sum, machine| sum.plus(&types.get(&machine.kind).map_or(everything, |kind| kind.room)))
     }
 
     /// Puts an attempt on a machine, in memory.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -196,6 +196,14 @@
     }
 }
 
+/// Seeds that once broke a rule.
+#[test]
+fn what_was_broken_once_stays_mended() {
+    // After a takeover the tasks of a job that had just been cancelled were still running on a
+    // machine that had not answered yet, and were not counted towards the team's limit.
+    assert_kept(&day(10_018, 25, 11, Mutation::None), 10_018);
+}
+
 /// The same on far more days, for when something about the rules has changed.
 #[test]
 #[ignore = "takes minutes"]
