Queue the most pressing job first, hopeless ones last

Cause: first come, first served let photo jobs of hundreds of tasks with 40 s deadlines stand before species jobs due in 70 s, and both behind jobs that were too late already. Ruled out: too few machines alone, since the same fleet served more in time.

--- a/src/config.rs
+++ b/src/config.rs
@@ -135,8 +135,8 @@
     pub state_addr: SocketAddrV4,
     pub shards: u32,
     pub teams: BTreeMap<Name, TeamLimits>,
-    /// The longest time within which a class's jobs should finish.
-    pub finish_within: BTreeMap<Name, Span>,
+    /// The times within which a class's jobs should finish, the strictest first.
+    pub finish_within: BTreeMap<Name, Vec<Span>>,
     /// The time within which a class's tasks should start.
     pub start_within: BTreeMap<Name, Span>,
     pub report: Span,
@@ -288,20 +288,22 @@
                 },
             );
         }
-        let mut finish_within: BTreeMap<Name, Span> = BTreeMap::new();
+        let mut finish_within: BTreeMap<Name, Vec<Span>> = BTreeMap::new();
         let mut start_within: BTreeMap<Name, Span> = BTreeMap::new();
         for aim in &facts.objectives {
-            if let (Some(class), Some(within)) = (&aim.class, aim.within_s) {
-                let table = match aim.kind.as_str() {
-                    "finished" => &mut finish_within,
-                    "wait" => &mut start_within,
-                    _ => continue,
-                };
-                // Of several aims for a class the strictest counts.
-                let entry = table.entry(Name::new(class)).or_insert(Span::secs(within));
-                *entry = (*entry).min(Span::secs(within));
+            let (Some(class), Some(within)) = (&aim.class, aim.within_s) else { continue };
+            let (class, within) = (Name::new(class), Span::secs(within));
+            match aim.kind.as_str() {
+                "finished" => finish_within.entry(class).or_default().push(within),
+                // Of several aims for a start the strictest counts.
+                "wait" => {
+                    let entry = start_within.entry(class).or_insert(within);
+                    *entry = (*entry).min(within);
+                }
+                _ => {}
             }
         }
+        finish_within.values_mut().for_each(|times| times.sort());
         let lease = Span::secs(facts.workers.lease_s);
         let cancel = Span::secs(facts.workers.cancel_s);
         let mut own = Properties::defaults(lease);
--- a/src/coordination/binding.rs
+++ b/src/coordination/binding.rs
@@ -16,6 +16,8 @@
     pub cfg: &'a Settings,
     pub types: &'a HashMap<Name, MachineType>,
     pub now: Time,
+    /// The time of day in milliseconds.
+    pub day_ms: u64,
 }
 
 impl Job {
@@ -25,6 +27,15 @@
         (self.is_live() && now >= self.rest_until).then_some(task)
     }
 
+    /// Seconds left until the job should be done: until its deadline, or until the first of its
+    /// class's aims that can still be met. Nothing if there is none left to meet.
+    pub fn time_left(&self, cfg: &Settings, day_ms: u64) -> Option<f64> {
+        let age = day_ms.saturating_sub(self.accepted_ms) as f64 / 1000.0;
+        let aims = cfg.finish_within.get(&self.spec.class).into_iter().flatten().map(|within| within.as_secs());
+        let mut ahead = self.spec.deadline_s.into_iter().chain(aims).map(|within| within - age);
+        ahead.find(|left| *left > self.run_time())
+    }
+
     /// Whether the job's own words allow the machine; room and the other tasks aside.
     pub fn allows(&self, kind: &Name, zone: &Name, spot: bool) -> bool {
         self.spec.allows_type(kind) && self.spec.allows_zone(zone) && (self.spec.spot || !spot)
@@ -80,11 +91,13 @@
                     let after = used.plus(&job.spec.needs);
                     after.cpus <= limits.cpus && after.gpus <= limits.gpus.max(Amount(0))
                 });
-                (job.spec.priority, !within, &job.order)
+                // What can still be in time goes before what can't, the most pressing first.
+                let left = job.time_left(market.cfg, market.day_ms).map_or(u64::MAX, |left| (left * 1e3) as u64);
+                (job.spec.priority, !within, left, &job.order)
             })
             .collect();
         line.sort();
-        line.into_iter().map(|(_, over, (_, id))| (!over, id.clone())).collect()
+        line.into_iter().map(|(_, over, _, (_, id))| (!over, id.clone())).collect()
     }
 
     /// Binds what fits on a machine that has just reported.
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -432,7 +432,10 @@
     /// How many tasks each job should have room for at once, from the queue's front.
     fn demands(&self, shard: &Shard) -> Vec<Demand> {
         let mut jobs: Vec<_> = shard.jobs.values().filter(|job| job.ending != Some(Final::Done)).collect();
-        jobs.sort_by_key(|job| (job.spec.priority, &job.order));
+        let pressing = |job: &super::shard::Job| {
+            job.time_left(&self.cfg, self.day_ms).map_or(u64::MAX, |left| (left * 1e3) as u64)
+        };
+        jobs.sort_by_key(|job| (job.spec.priority, pressing(job), &job.order));
         let mut demands = Vec::new();
         let mut used: HashMap<&Name, Resources> = HashMap::new();
         let mut services = 0;
@@ -493,11 +496,7 @@
     /// How many of a job's tasks one slot can take after one another before the job should be
     /// done: the per-machine target of the source, per slot.
     fn per_slot_target(&self, job: &super::shard::Job) -> f64 {
-        let age = self.day_ms.saturating_sub(job.accepted_ms) as f64 / 1000.0;
-        let horizon =
-            job.spec.deadline_s.or_else(|| self.cfg.finish_within.get(&job.spec.class).map(|span| span.as_secs()));
-        let Some(horizon) = horizon else { return 2.0 };
-        let left = horizon - age;
+        let Some(left) = job.time_left(&self.cfg, self.day_ms) else { return 2.0 };
         let boot = self.cloud.catalog.iter().flatten().map(|kind| kind.boot.as_secs()).fold(f64::MAX, f64::min);
         let fetch = self
             .cloud
--- a/src/coordination/workers.rs
+++ b/src/coordination/workers.rs
@@ -210,7 +210,7 @@
     fn commands_for(&mut self, shard_id: ShardId, id: &MachineId, entitled: bool) -> Vec<Command> {
         let mut commands = Vec::new();
         let now = self.now;
-        let market = Market { cfg: &self.cfg, types: &self.cloud.types, now };
+        let market = Market { cfg: &self.cfg, types: &self.cloud.types, now, day_ms: self.day_ms };
         let Some(shard) = self.shards.get_mut(&shard_id) else { return commands };
         shard.plan_drain(id, &market);
         if let Some(machine) = shard.machines.get(id) {
