Replicas go where their image is, and arrays give way to services without room

Cause: replicas were bound to whichever machine reported first, and fetched a 1.2 GB image at 0.3 GB/s there (4 s) while another machine had it; and with no room they waited for an array task to end.

--- a/src/coordination/binding.rs
+++ b/src/coordination/binding.rs
@@ -100,6 +100,123 @@
         line.into_iter().map(|(_, over, _, (_, id))| (!over, id.clone())).collect()
     }
 
+    /// Whether a replica should rather wait for another machine's report: one that has its image
+    /// already and room, and that will report before this one could have fetched the image.
+    fn better_elsewhere(&self, job: &Job, here: &MachineId, market: &Market) -> bool {
+        let image = &job.spec.image;
+        let wait = market.cfg.report.times(1.5);
+        if job.spec.kind != JobKind::Service || market.now.since(job.waiting_since) > wait {
+            return false;
+        }
+        let (Some(machine), now) = (self.machines.get(here), market.now) else { return false };
+        let Some(kind) = market.types.get(&machine.kind) else { return false };
+        if machine.has_image(image) || Span::secs(job.spec.image_gb / kind.fetch_gb_per_s) < market.cfg.report {
+            return false;
+        }
+        self.machines.iter().any(|(id, other)| {
+            other.has_image(image)
+                && other.may_bind(now)
+                && now.since(other.seen) < wait
+                && job.allows(&other.kind, &other.zone, other.spot)
+                && !job.avoids(id, now)
+                && market
+                    .types
+                    .get(&other.kind)
+                    .is_some_and(|kind| job.spec.needs.fits_in(&kind.room.minus(&other.used())))
+        })
+    }
+
+    /// Picks tasks to be stopped so that waiting tasks of higher priority get room. Work lost is
+    /// kept small: the machine where the least has been done, and there the youngest tasks.
+    pub fn preempt(&mut self, market: &Market) -> Vec<(MachineId, Vec<AttemptNo>)> {
+        let now = market.now;
+        let mut picked: Vec<(MachineId, Vec<AttemptNo>)> = Vec::new();
+        let queue = self.queue(market);
+        // Room that is there or being made, which earlier jobs in the line use up first.
+        let mut rooms: Vec<(MachineId, Resources)> = Vec::new();
+        for (id, machine) in self.machines.iter().filter(|(_, machine)| machine.may_bind(now)) {
+            if let Some(kind) = market.types.get(&machine.kind) {
+                let staying = machine.attempts.values().filter(|attempt| !attempt.is_over() && attempt.stop.is_none());
+                let used = staying.fold(Resources::default(), |sum, attempt| sum.plus(&attempt.needs));
+                rooms.push((id.clone(), kind.room.minus(&used)));
+            }
+        }
+        for (_, job_id) in queue {
+            let Some(job) = self.jobs.get(&job_id) else { continue };
+            let usage = self.team_usage(&job.spec.team, market.types);
+            if !self.quota_allows(job, &usage, market.cfg) {
+                continue;
+            }
+            for _ in 0..job.pending.len() {
+                let suits = |id: &MachineId| {
+                    self.machines.get(id).is_some_and(|machine| {
+                        job.allows(&machine.kind, &machine.zone, machine.spot)
+                            && !job.avoids(id, now)
+                            && self.zone_allows(job, &machine.zone)
+                    })
+                };
+                let free = rooms.iter_mut().find(|(id, room)| job.spec.needs.fits_in(room) && suits(id));
+                if let Some((_, room)) = free {
+                    *room = room.minus(&job.spec.needs);
+                    continue;
+                }
+                let mut best: Option<(f64, usize, Vec<AttemptNo>, Resources)> = None;
+                for (at, (id, room)) in rooms.iter().enumerate().filter(|(_, (id, _))| suits(id)) {
+                    let Some((loss, victims, freed)) = self.cheapest_victims(job, id, room, now) else { continue };
+                    if best.as_ref().is_none_or(|(least, ..)| loss < *least) {
+                        best = Some((loss, at, victims, freed));
+                    }
+                }
+                let Some((_, at, victims, freed)) = best else { break };
+                rooms[at].1 = rooms[at].1.plus(&freed).minus(&job.spec.needs);
+                picked.push((rooms[at].0.clone(), victims.clone()));
+                let id = rooms[at].0.clone();
+                if let Some(machine) = self.machines.get_mut(&id) {
+                    for no in victims {
+                        let Some(attempt) = machine.attempts.get_mut(&no) else { continue };
+                        let spec = self.jobs.get(&attempt.task.job).map(|job| &job.spec);
+                        let saves = spec.filter(|spec| spec.checkpoint_s > 0.0).map_or(0.0, |spec| spec.save_s);
+                        attempt.stop = Some(saves);
+                    }
+                }
+                let Some(_) = self.jobs.get(&job_id) else { break };
+            }
+        }
+        picked
+    }
+
+    /// What would have to be stopped on a machine for the job, and how much run time that loses.
+    fn cheapest_victims(
+        &self,
+        job: &Job,
+        id: &MachineId,
+        room: &Resources,
+        now: Time,
+    ) -> Option<(f64, Vec<AttemptNo>, Resources)> {
+        let machine = self.machines.get(id)?;
+        let mut lower: Vec<(f64, AttemptNo, Resources)> = machine
+            .attempts
+            .iter()
+            .filter(|(_, attempt)| !attempt.is_over() && attempt.stop.is_none())
+            .filter_map(|(no, attempt)| {
+                let other = self.jobs.get(&attempt.task.job)?;
+                let ran = attempt.running_since.map_or(0.0, |since| now.since(since).as_secs());
+                (other.spec.priority > job.spec.priority).then_some((ran, *no, attempt.needs))
+            })
+            .collect();
+        lower.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let (mut loss, mut victims, mut freed) = (0.0, Vec::new(), Resources::default());
+        for (ran, no, needs) in lower {
+            loss += ran;
+            victims.push(no);
+            freed = freed.plus(&needs);
+            if job.spec.needs.fits_in(&room.plus(&freed)) {
+                return Some((loss, victims, freed));
+            }
+        }
+        None
+    }
+
     /// Binds what fits on a machine that has just reported.
     pub fn bind(&mut self, id: &MachineId, counter: &mut u64, most: usize, market: &Market) -> Vec<Command> {
         let mut commands = Vec::new();
@@ -132,6 +249,9 @@
                     }
                     break;
                 }
+                if self.better_elsewhere(job, id, market) {
+                    break;
+                }
                 let usage = self.team_usage(&job.spec.team, market.types);
                 if !self.quota_allows(job, &usage, market.cfg) || !self.zone_allows(job, &zone) {
                     break;
--- a/src/coordination/shard.rs
+++ b/src/coordination/shard.rs
@@ -151,6 +151,10 @@
         self.proven && !self.draining && !self.deleting && self.notice.is_none() && now >= self.distrusted_until
     }
 
+    pub fn has_image(&self, image: &Name) -> bool {
+        self.images.iter().any(|(name, _)| name == image)
+    }
+
     /// Notes that it fetches an image; the oldest go when the cache is full.
     pub fn note_image(&mut self, image: &Name, gb: f64, cache_gb: f64) {
         self.images.retain(|(name, _)| name != image);
@@ -256,10 +260,14 @@
     }
 
     /// Takes in a job that this holder has just accepted: nothing of it has been started.
-    pub fn accept_job(&mut self, record: LiveRecord, version: Revision) {
+    pub fn accept_job(&mut self, record: LiveRecord, version: Revision, now: Time) {
         let pending = RangeSet::up_to(record.job.tasks);
         let (none, unlocated) = (RangeSet::new(), RangeSet::new());
+        let id = record.job.id.clone();
         self.insert_job(record.job, version, record.accepted_ms, record.untouched, pending, unlocated, none);
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.waiting_since = now;
+        }
     }
 
     #[allow(clippy::too_many_arguments)]
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -108,13 +108,13 @@
             // It has ended since the record was read.
             return self.reply(asker, final_view(&id, state, done));
         }
-        let entitled = self.entitled();
+        let (entitled, now) = (self.entitled(), self.now);
         if let Some(shard) = self.shards.get_mut(&shard_id).filter(|shard| shard.active && entitled) {
             if !shard.jobs.contains_key(&id) {
                 // Written under this claim, or it would have been loaded: an acceptance whose
                 // answer was lost. So nothing of it has been started.
                 log::info!("job {id} found in the records");
-                shard.accept_job(record, version);
+                shard.accept_job(record, version, now);
             }
             return match then {
                 Then::Cancel => self.cancel_here(asker, shard_id, id),
@@ -346,10 +346,11 @@
         let askers = self.accepting.remove(&id).unwrap_or_default();
         match answer {
             Ok(StateAnswer::Committed(version)) => {
+                let now = self.now;
                 if let Some(shard) = self.shard_under(shard_id, claim)
                     && !shard.jobs.contains_key(&id)
                 {
-                    shard.accept_job(record, version);
+                    shard.accept_job(record, version, now);
                 }
                 // Durable, whoever holds the shard by now.
                 let reply = Reply { status: 201, ..view(&id, JobState::Queued, 0, 0) };
--- a/src/coordination/workers.rs
+++ b/src/coordination/workers.rs
@@ -292,6 +292,29 @@
         }
     }
 
+    /// Stops what has to give way, straight away rather than at the next report.
+    fn make_room(&mut self, shard_id: ShardId) {
+        if !self.entitled() {
+            return;
+        }
+        let market = Market { cfg: &self.cfg, types: &self.cloud.types, now: self.now, day_ms: self.day_ms };
+        let Some(shard) = self.shards.get_mut(&shard_id) else { return };
+        let mut calls = Vec::new();
+        for (id, victims) in shard.preempt(&market) {
+            let Some(machine) = shard.machines.get(&id) else { continue };
+            let stops = victims.iter().filter_map(|no| {
+                let attempt = machine.attempts.get(no)?;
+                log::debug!("task {} on {id} gives way", attempt.task);
+                Some(Command::Stop { task: attempt.task.clone(), attempt: *no, grace_s: attempt.stop? })
+            });
+            let request = WorkerCall { token: machine.token, session: machine.last.0, commands: stops.collect() };
+            calls.push((id, machine.addr, request));
+        }
+        for (id, addr, request) in calls {
+            self.call_worker(shard_id, &id, addr, request);
+        }
+    }
+
     pub(super) fn workers_tick(&mut self) {
         let now = self.now;
         let lease = self.cfg.lease;
@@ -328,6 +351,7 @@
             if !may_renew {
                 continue;
             }
+            self.make_room(id);
             if now.0 / 1_000_000 != self.last_probe.0 / 1_000_000 {
                 self.probe_machines(id);
             }
