--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -11,6 +11,8 @@
 const CATALOG_AGE: Span = Span::millis(60_000);
 const LIST_PAUSE: Span = Span::millis(5_000);
 const PLAN_PAUSE: Span = Span::millis(1_000);
+/// The part of the time left that is planned with: estimates are often wrong.
+const USABLE: f64 = 0.85;
 /// How long a refused kind of machine is not asked for again; doubled with each refusal.
 const REFUSED: Span = Span::millis(6_000);
 /// How long after its lease a silent machine that the cloud no longer lists is forgotten.
@@ -83,7 +85,12 @@
 /// What one job needs room for.
 struct Demand {
     spec: JobSpec,
+    /// How many tasks need room, now or one after another.
     count: u32,
+    /// How many of them a slot can take before the job should be done: one that is there, and
+    /// one that has to boot first.
+    per_slot: u32,
+    per_new_slot: u32,
     /// Machines that its tasks are kept away from: they do not count as room for it.
     avoids: Vec<MachineId>,
 }
@@ -406,9 +413,12 @@
             if left == 0 {
                 continue;
             }
-            let Some((kind, zone, spot)) = self.cheapest(&demand.spec, left, &bins) else { continue };
+            let Some((kind, zone, spot)) = self.cheapest(&demand.spec, left.div_ceil(demand.per_new_slot), &bins)
+            else {
+                continue;
+            };
             let Some(of_kind) = self.cloud.types.get(&kind) else { continue };
-            let per_machine = of_kind.room.slots(&demand.spec.needs).max(1);
+            let per_machine = of_kind.room.slots(&demand.spec.needs).max(1) * demand.per_new_slot;
             let count = left.div_ceil(per_machine).min(MOST_RENTED);
             for _ in 0..count {
                 let (kind, zone, room) = (kind.clone(), zone.clone(), of_kind.room);
@@ -445,17 +455,15 @@
                 continue;
             }
             let waiting = job.pending.len() + job.unlocated.len();
-            let wanted = match job.spec.kind {
+            let (wanted, per_slot, per_new_slot) = match job.spec.kind {
                 JobKind::Service => {
                     services += job.spec.tasks;
                     newest = newest.filter(|other| other.order >= job.order).or(Some(job));
-                    job.spec.tasks
+                    (job.spec.tasks, 1, 1)
                 }
                 JobKind::Array => {
-                    let total = waiting + job.running.len() as u32;
-                    let target = self.per_slot_target(job);
-                    let slots = (f64::from(total) * self.cfg.own.headroom / target).ceil() as u32;
-                    slots.min(total)
+                    let (here, new) = self.per_slot_targets(job);
+                    (waiting + job.running.len() as u32, here, new)
                 }
             };
             // No more than the team may use at once.
@@ -472,41 +480,39 @@
                 };
                 room.slots(&job.spec.needs)
             });
-            let count = wanted.min(most);
-            for _ in 0..count {
+            let slots = wanted.div_ceil(per_slot).min(most);
+            for _ in 0..slots {
                 *team = team.plus(&job.spec.needs);
             }
             let placed = if job.spec.kind == JobKind::Service { job.running.len() as u32 } else { 0 };
-            let count = count.saturating_sub(placed);
+            let count = wanted.min(most.saturating_mul(per_new_slot)).saturating_sub(placed);
             if count > 0 {
                 let avoids = job.failed_on.iter().map(|(id, _)| id.clone()).filter(|id| job.avoids(id, self.now));
-                demands.push(Demand { spec: job.spec.clone(), count, avoids: avoids.collect() });
+                let avoids = avoids.collect();
+                demands.push(Demand { spec: job.spec.clone(), count, per_slot, per_new_slot, avoids });
             }
         }
         if let Some(job) = newest {
             let spare = ((self.cfg.own.headroom - 1.0) * f64::from(services)).ceil() as u32;
             let at = demands.iter().take_while(|d| d.spec.kind == JobKind::Service).count();
             if spare > 0 {
-                demands.insert(at, Demand { spec: job.spec.clone(), count: spare, avoids: Vec::new() });
+                let spec = job.spec.clone();
+                demands.insert(at, Demand { spec, count: spare, per_slot: 1, per_new_slot: 1, avoids: Vec::new() });
             }
         }
         demands
     }
 
     /// How many of a job's tasks one slot can take after one another before the job should be
-    /// done: the per-machine target of the source, per slot.
-    fn per_slot_target(&self, job: &super::shard::Job) -> f64 {
-        let Some(left) = job.time_left(&self.cfg, self.day_ms) else { return 2.0 };
-        let boot = self.cloud.catalog.iter().flatten().map(|kind| kind.boot.as_secs()).fold(f64::MAX, f64::min);
-        let fetch = self
-            .cloud
-            .catalog
-            .iter()
-            .flatten()
-            .map(|kind| job.spec.image_gb / kind.fetch_gb_per_s)
-            .fold(f64::MAX, f64::min);
-        let usable = left * 0.85 - boot - fetch;
-        (usable / job.run_time()).floor().max(1.0)
+    /// done, on a machine that is there and on one that has to boot first: the per-machine target
+    /// of the source, per slot.
+    fn per_slot_targets(&self, job: &super::shard::Job) -> (u32, u32) {
+        let Some(left) = job.time_left(&self.cfg, self.day_ms) else { return (2, 2) };
+        let types = || self.cloud.catalog.iter().flatten();
+        let boot = types().map(|kind| kind.boot.as_secs()).fold(f64::MAX, f64::min);
+        let fetch = types().map(|kind| job.spec.image_gb / kind.fetch_gb_per_s).fold(f64::MAX, f64::min);
+        let target = |usable: f64| (usable / job.run_time()).floor().clamp(1.0, 1000.0) as u32;
+        (target(left * USABLE - fetch), target(left * USABLE - fetch - boot))
     }
 
     fn bins(&self, shard: &Shard) -> Vec<Bin> {
@@ -606,7 +612,7 @@
     }
 }
 
-/// Puts as much of the demand as possible into the bins; gives back what is left.
+/// Puts as much of the demand as possible into the bins; gives back how many tasks are left.
 fn fill(bins: &mut [Bin], demand: &Demand, types: &HashMap<Name, MachineType>) -> u32 {
     let spec = &demand.spec;
     let mut left = demand.count;
@@ -620,12 +626,13 @@
             if !allowed || avoided || !types.contains_key(&bin.kind) {
                 continue;
             }
-            let taken = bin.room.slots(&spec.needs).min(left);
+            let per_slot = if bin.id.is_some() { demand.per_slot } else { demand.per_new_slot };
+            let taken = bin.room.slots(&spec.needs).min(left.div_ceil(per_slot));
             for _ in 0..taken {
                 bin.room = bin.room.minus(&spec.needs);
             }
             bin.used |= taken > 0;
-            left -= taken;
+            left = left.saturating_sub(taken.saturating_mul(per_slot));
         }
     }
     left
@@ -666,7 +673,7 @@
             let room = self.cloud.types.get(&offer.kind).map(|kind| kind.room).unwrap_or_default();
             let (kind, zone, spot) = (offer.kind.clone(), offer.zone.clone(), offer.spot);
             bins.push(Bin { id: None, kind, zone, spot, room, used: false });
-            let one = Demand { spec: spec.clone(), count: left, avoids: demand.avoids.clone() };
+            let one = Demand { spec: spec.clone(), count: left, avoids: demand.avoids.clone(), ..*demand };
             left = fill(bins, &one, &self.cloud.types);
             if let Some(shard) = self.shards.get_mut(&id) {
                 shard.taking.insert(offer.machine.clone(), (offer, now));
