--- a/src/config.rs
+++ b/src/config.rs
@@ -174,7 +174,7 @@
 impl Properties {
     fn defaults(lease: Span) -> Properties {
         Properties {
-            claim_life: lease.times(0.25),
+            claim_life: lease.times(0.4),
             claim_watch: Span::millis(400),
             give_back: Span::millis(30_000),
             headroom: 1.25,
