--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -138,8 +138,6 @@
     ask: AskId,
     until: Time,
     job: JobId,
-    /// A submission that this node may take itself if the other can't.
-    spec: Option<JobSpec>,
 }
 
 /// One controller.
@@ -203,8 +201,6 @@
 /// How many entries the tables of where things are may have before they are started anew.
 const MOST_HOMES: usize = 20_000;
 const FORWARD_TIMEOUT: Span = Span::millis(1500);
-/// Sooner for submissions that another shard can take.
-const SUBMIT_TIMEOUT: Span = Span::millis(400);
 
 impl Controller {
     pub fn new(cfg: Settings, life: u64, clock: Clock) -> Controller {
@@ -402,10 +398,7 @@
                     if reply.status == 404 {
                         self.job_homes.remove(&forwarded.job);
                     }
-                    match forwarded.spec {
-                        Some(spec) if reply.status == 503 => self.take_in(Asker::Local(forwarded.ask), spec),
-                        _ => self.reply(Asker::Local(forwarded.ask), reply),
-                    }
+                    self.reply(Asker::Local(forwarded.ask), reply);
                 }
             }
         }
@@ -417,10 +410,7 @@
         let late: Vec<u64> = self.forwarded.iter().filter(|(_, f)| f.until <= now).map(|(number, _)| *number).collect();
         for number in late {
             if let Some(forwarded) = self.forwarded.remove(&number) {
-                match forwarded.spec {
-                    Some(spec) => self.take_in(Asker::Local(forwarded.ask), spec),
-                    None => self.reply(Asker::Local(forwarded.ask), Reply::busy("the job's node does not answer")),
-                }
+                self.reply(Asker::Local(forwarded.ask), Reply::busy("the job's node does not answer"));
             }
         }
         if self.job_homes.len() > MOST_HOMES {
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -141,12 +141,8 @@
             Some(to) => {
                 self.next_call += 1;
                 let number = self.next_call;
-                let spec = match &ask {
-                    PeerAsk::Submit(spec) if self.fallback(spec).is_some() => Some((**spec).clone()),
-                    _ => None,
-                };
-                let until = self.now + if spec.is_some() { SUBMIT_TIMEOUT } else { FORWARD_TIMEOUT };
-                self.forwarded.insert(number, Forwarded { ask: id, until, job, spec });
+                let until = self.now + FORWARD_TIMEOUT;
+                self.forwarded.insert(number, Forwarded { ask: id, until, job });
                 self.out.push(Action::Send { to, message: PeerMessage::Ask { number, shard, ask } });
             }
             None => self.reply(asker, Reply::busy("its shard is changing hands")),
@@ -256,10 +252,7 @@
             return self.known_or(asker, id, Reply::error(422, why));
         }
         match self.shard_for(&spec) {
-            Some(shard) if self.shards.get(&shard).is_some_and(|shard| shard.active) => {
-                self.submit_here(asker, shard, spec)
-            }
-            Some(shard) if self.live_holder(shard).is_none() => self.take_in(asker, spec),
+            Some(shard) if self.shards.contains_key(&shard) => self.submit_here(asker, shard, spec),
             Some(shard) => {
                 self.job_homes.insert(id.clone(), shard);
                 self.pass_on(asker, shard, id, PeerAsk::Submit(Box::new(spec)))
@@ -295,24 +288,6 @@
         Some(ShardId(place as u32 % self.cfg.shards))
     }
 
-    /// A shard held here that may take a job whose team's home shard can't: only one without a
-    /// limit, since a limit is kept in one place. Should the home shard have recorded the job
-    /// after all, the record is found there: a job's key does not depend on its shard.
-    fn fallback(&self, spec: &JobSpec) -> Option<ShardId> {
-        let limited = self.cfg.teams.get(&spec.team).is_none_or(|limits| limits.is_limited());
-        let home = self.shard_for(spec);
-        let mut held = self.shards.values().filter(|shard| shard.active && !limited && Some(shard.id) != home);
-        held.next().map(|shard| shard.id)
-    }
-
-    /// Takes a job into a shard held here, or tells its user at once when to come back.
-    pub(super) fn take_in(&mut self, asker: Asker, spec: JobSpec) {
-        match self.fallback(&spec) {
-            Some(shard) => self.submit_here(asker, shard, spec),
-            None => self.reply(asker, Reply::busy("its shard is changing hands")),
-        }
-    }
-
     pub(super) fn submit_here(&mut self, asker: Asker, shard_id: ShardId, spec: JobSpec) {
         let id = spec.id.clone();
         if let Some((state, done)) = self.ended.jobs.get(&id).copied() {
