Hand a restarted controller the lightest shard, not its old one

Cause: a busy shard changed hands twice within four seconds of every crash, and each time nothing was bound until the machines had answered under the new token.

--- a/src/coordination/members.rs
+++ b/src/coordination/members.rs
@@ -171,6 +171,10 @@
         let since = *view.absent_since.get_or_insert(now);
         let ever_held = view.claim.0 > 0;
         view.holder = None;
+        // Left to the node that it was released to.
+        if view.released.is_some_and(|at| now.since(at) < FIRST_WAIT) {
+            return;
+        }
         let nodes = self.cfg.nodes.len() as u32;
         let rank = (self.cfg.me.0 + nodes - id.0 % nodes) % nodes;
         if rank > 0 {
@@ -351,25 +355,35 @@
         self.hand_back(&from);
     }
 
-    /// Gives a shard back to its home node once that is settled and holds none.
+    /// Gives a shard to a node that is settled and holds none: the one with the least in it, since
+    /// every change of hands stops what it holds for a moment.
     fn hand_back(&mut self, node: &NodeLabel) {
         let Some(peer) = self.peers.get(node) else { return };
         let settled = peer.ready_since.is_some_and(|since| self.now.since(since) >= SETTLED);
         if !settled || !peer.held.is_empty() || !self.entitled() || self.shards.len() < 2 {
             return;
         }
-        let theirs = self.shards.values().find(|shard| shard.active && self.home_of(shard.id) == node);
-        let Some((id, claim)) = theirs.map(|shard| (shard.id, shard.claim)) else { return };
-        if self.claiming(id) {
+        let active = self.shards.values().filter(|shard| shard.active);
+        let lightest =
+            active.min_by_key(|shard| (shard.jobs.len() + shard.machines.len(), self.home_of(shard.id) != node));
+        let Some((id, claim)) = lightest.map(|shard| (shard.id, shard.claim)) else { return };
+        let busy = |work: &StateWork| matches!(work, StateWork::Claim { .. } | StateWork::Release { .. });
+        if self.state_work.values().any(busy) {
             return;
         }
-        log::info!("shard {id} goes back to {node}");
+        log::info!("shard {id} goes to {node}");
         let key = records::shard_key(id);
         let request = StateCall::Commit { conditions: vec![(key.clone(), claim)], changes: vec![Change::Delete(key)] };
-        self.call_state(request, StateWork::Release { shard: id, claim });
+        self.call_state(request, StateWork::Release { shard: id, claim, to: node.clone() });
     }
 
-    pub(super) fn released(&mut self, id: ShardId, claim: Revision, answer: Result<StateAnswer, CallError>) {
+    pub(super) fn released(
+        &mut self,
+        id: ShardId,
+        claim: Revision,
+        to: NodeLabel,
+        answer: Result<StateAnswer, CallError>,
+    ) {
         if self.shard_under(id, claim).is_none() {
             return;
         }
@@ -379,20 +393,17 @@
             // loading anew.
             Ok(StateAnswer::Committed(_)) | Err(CallError::NoAnswer) | Ok(StateAnswer::Conflict(_)) => {
                 self.drop_shard(id, "handed back");
-                self.views[id.0 as usize].holder = None;
-                let home = self.home_of(id).clone();
-                self.out.push(Action::Send { to: home, message: PeerMessage::Released { shard: id } });
+                let view = &mut self.views[id.0 as usize];
+                view.holder = None;
+                view.released = Some(self.now);
+                self.out.push(Action::Send { to, message: PeerMessage::Released { shard: id } });
             }
             _ => {}
         }
     }
 
     pub(super) fn shard_released(&mut self, id: ShardId) {
-        if (id.0 as usize) < self.views.len()
-            && self.home_of(id) == &self.cfg.label
-            && !self.shards.contains_key(&id)
-            && !self.claiming(id)
-        {
+        if (id.0 as usize) < self.views.len() && !self.shards.contains_key(&id) && !self.claiming(id) {
             self.claim(id, Revision(0));
         }
     }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -95,6 +95,8 @@
     holder: Option<NodeLabel>,
     claim: Revision,
     absent_since: Option<Time>,
+    /// When this node released it to another.
+    released: Option<Time>,
 }
 
 /// This node's lease at the state service.
@@ -111,7 +113,7 @@
     Touch { hold: HoldId, sent: Time },
     Watch,
     Claim { shard: ShardId, hold: HoldId },
-    Release { shard: ShardId, claim: Revision },
+    Release { shard: ShardId, claim: Revision, to: NodeLabel },
     LoadJobs { shard: ShardId, claim: Revision },
     LoadMachines { shard: ShardId, claim: Revision },
     Lookup(Box<users::Lookup>),
@@ -355,7 +357,7 @@
             StateWork::Touch { hold, sent } => self.touched(hold, sent, answer),
             StateWork::Watch => self.watched(answer),
             StateWork::Claim { shard, hold } => self.claimed(shard, hold, answer),
-            StateWork::Release { shard, claim } => self.released(shard, claim, answer),
+            StateWork::Release { shard, claim, to } => self.released(shard, claim, to, answer),
             StateWork::LoadJobs { shard, claim } => self.loaded_jobs(shard, claim, answer),
             StateWork::LoadMachines { shard, claim } => self.loaded_machines(shard, claim, answer),
             StateWork::Lookup(lookup) => self.looked_up(*lookup, answer),
--- a/src/protocol/peers.rs
+++ b/src/protocol/peers.rs
@@ -36,7 +36,7 @@
         number: u64,
         reply: Reply,
     },
-    /// A shard was let go; its home node may claim it at once.
+    /// A shard was let go for the node that this is sent to, which may claim it at once.
     Released {
         shard: ShardId,
     },
