Spread teams over one shard unless the operators want more

Cause: with the teams over three shards each kept warm room of its own and half-used machines could not be shared. Kept, as the property shards.for-teams; the seeded tests run with three.

--- a/src/config.rs
+++ b/src/config.rs
@@ -167,6 +167,8 @@
     pub skip_limit: Span,
     /// How often jobs' progress is recorded.
     pub round: Span,
+    /// How many shards the teams are spread over.
+    pub team_shards: u32,
     /// How many of the newest ended jobs are kept in memory.
     pub ended_kept: usize,
 }
@@ -180,6 +182,7 @@
             headroom: 1.25,
             skip_limit: Span::millis(60_000),
             round: Span::millis(1000),
+            team_shards: 1,
             ended_kept: 2000,
         }
     }
@@ -203,6 +206,10 @@
             },
             "queue.skip-limit.ms" => self.skip_limit = ms(1000, 3_600_000)?,
             "records.round.ms" => self.round = ms(100, 60_000)?,
+            "shards.for-teams" => match value.parse::<u32>() {
+                Ok(n) if (1..=1000).contains(&n) => self.team_shards = n,
+                _ => return Err(bad("a whole number from 1 to 1000")),
+            },
             "records.ended-kept" => match value.parse::<usize>() {
                 Ok(n) if n <= 1_000_000 => self.ended_kept = n,
                 _ => return Err(bad("a whole number up to 1000000")),
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -182,7 +182,7 @@
         _ => text,
     };
     // A lease that is thought short must not shorten the claims too.
-    Settings::parse(&text, Some("claim.life.ms=4000")).expect("the test's settings are valid")
+    Settings::parse(&text, Some("claim.life.ms=4000\nshards.for-teams=3")).expect("the test's settings are valid")
 }
 
 pub const CANCEL: u64 = 30 * SEC;
