--- a/src/coordination/binding.rs
+++ b/src/coordination/binding.rs
@@ -36,12 +36,6 @@
         ahead.find(|left| *left > self.run_time())
     }
 
-    /// How long the job's tasks can still wait without being late, in milliseconds; most of all
-    /// where there is nothing left to meet.
-    pub fn slack_ms(&self, cfg: &Settings, day_ms: u64) -> u64 {
-        self.time_left(cfg, day_ms).map_or(u64::MAX, |left| ((left - self.run_time()) * 1e3) as u64)
-    }
-
     /// Whether the job's own words allow the machine; room and the other tasks aside.
     pub fn allows(&self, kind: &Name, zone: &Name, spot: bool) -> bool {
         self.spec.allows_type(kind) && self.spec.allows_zone(zone) && (self.spec.spot || !spot)
@@ -98,8 +92,8 @@
                     after.cpus <= limits.cpus && after.gpus <= limits.gpus.max(Amount(0))
                 });
                 // What can still be in time goes before what can't, the most pressing first.
-                let slack = job.slack_ms(market.cfg, market.day_ms);
-                (job.spec.priority, !within, slack, &job.order)
+                let left = job.time_left(market.cfg, market.day_ms).map_or(u64::MAX, |left| (left * 1e3) as u64);
+                (job.spec.priority, !within, left, &job.order)
             })
             .collect();
         line.sort();
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -442,7 +442,10 @@
     /// How many tasks each job should have room for at once, from the queue's front.
     fn demands(&self, shard: &Shard) -> Vec<Demand> {
         let mut jobs: Vec<_> = shard.jobs.values().filter(|job| job.ending != Some(Final::Done)).collect();
-        jobs.sort_by_key(|job| (job.spec.priority, job.slack_ms(&self.cfg, self.day_ms), &job.order));
+        let pressing = |job: &super::shard::Job| {
+            job.time_left(&self.cfg, self.day_ms).map_or(u64::MAX, |left| (left * 1e3) as u64)
+        };
+        jobs.sort_by_key(|job| (job.spec.priority, pressing(job), &job.order));
         let mut demands = Vec::new();
         let mut used: HashMap<&Name, Resources> = HashMap::new();
         let mut services = 0;
