--- a/src/config.rs
+++ b/src/config.rs
@@ -137,8 +137,6 @@
     pub teams: BTreeMap<Name, TeamLimits>,
     /// The times within which a class's jobs should finish, the strictest first.
     pub finish_within: BTreeMap<Name, Vec<Span>>,
-    /// The time within which a class's tasks should start.
-    pub start_within: BTreeMap<Name, Span>,
     pub report: Span,
     pub lease: Span,
     pub cancel: Span,
@@ -161,7 +159,7 @@
     pub claim_watch: Span,
     /// How long an idle machine is kept before it is given back.
     pub give_back: Span,
-    /// How many times the fleet that fits exactly is aimed at.
+    /// How many times the running replicas there should be room for.
     pub headroom: f64,
     /// How long a task may be skipped before it reserves the next machine with room.
     pub skip_limit: Span,
@@ -296,18 +294,11 @@
             );
         }
         let mut finish_within: BTreeMap<Name, Vec<Span>> = BTreeMap::new();
-        let mut start_within: BTreeMap<Name, Span> = BTreeMap::new();
         for aim in &facts.objectives {
             let (Some(class), Some(within)) = (&aim.class, aim.within_s) else { continue };
             let (class, within) = (Name::new(class), Span::secs(within));
-            match aim.kind.as_str() {
-                "finished" => finish_within.entry(class).or_default().push(within),
-                // Of several aims for a start the strictest counts.
-                "wait" => {
-                    let entry = start_within.entry(class).or_insert(within);
-                    *entry = (*entry).min(within);
-                }
-                _ => {}
+            if aim.kind == "finished" {
+                finish_within.entry(class).or_default().push(within);
             }
         }
         finish_within.values_mut().for_each(|times| times.sort());
@@ -336,7 +327,6 @@
             shards: facts.size,
             teams,
             finish_within,
-            start_within,
             report: Span::secs(facts.workers.report_s),
             lease,
             cancel,
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -125,6 +125,7 @@
         if self.cloud.catalog.is_some() && now.since(self.cloud.planned_at) >= PLAN_PAUSE {
             self.cloud.planned_at = now;
             for id in ids {
+                self.retry_forgets(id);
                 self.plan(id);
                 self.give_back(id);
             }
@@ -302,12 +303,26 @@
         let Some(gone) = shard.machines.remove(machine) else { return };
         shard.settle_unlocated();
         self.machine_homes.remove(machine);
-        let key = records::machine_key(machine);
+        self.write_forget(id, claim, machine.clone(), gone.version);
+    }
+
+    fn write_forget(&mut self, id: ShardId, claim: Revision, machine: MachineId, version: Revision) {
+        let key = records::machine_key(&machine);
         let request = StateCall::Commit {
-            conditions: vec![(records::shard_key(id), claim), (key.clone(), gone.version)],
+            conditions: vec![(records::shard_key(id), claim), (key.clone(), version)],
             changes: vec![Change::Delete(key)],
         };
-        self.call_state(request, StateWork::Forget { shard: id, claim, machine: machine.clone() });
+        self.call_state(request, StateWork::Forget { shard: id, claim, machine, version });
+    }
+
+    /// Removals of records that were refused or unanswered are tried again. One that was executed
+    /// after all fails on the version, and that is the end of it.
+    fn retry_forgets(&mut self, id: ShardId) {
+        let Some(shard) = self.shards.get_mut(&id) else { return };
+        let claim = shard.claim;
+        for (machine, version) in std::mem::take(&mut shard.leftovers) {
+            self.write_forget(id, claim, machine, version);
+        }
     }
 
     pub(super) fn machine_forgotten(
@@ -315,14 +330,13 @@
         id: ShardId,
         claim: Revision,
         machine: MachineId,
+        version: Revision,
         answer: Result<StateAnswer, CallError>,
     ) {
-        // What could not be written now: the record names a machine that never reports, which
-        // the next look at the cloud's list clears.
         if answer.is_err()
             && let Some(shard) = self.shard_under(id, claim)
         {
-            shard.leftovers.push(machine);
+            shard.leftovers.push((machine, version));
         }
     }
 
--- a/src/coordination/ledger.rs
+++ b/src/coordination/ledger.rs
@@ -8,7 +8,7 @@
 
 /// What of a job's record was written or read.
 pub(super) enum JobWrite {
-    Progress { done: RangeSet, untouched: u32 },
+    Progress { done: RangeSet, all: u32, untouched: u32 },
     End(Final),
     Reread,
     RereadEnd,
@@ -122,7 +122,7 @@
             conditions: vec![(records::shard_key(shard_id), claim), (key.clone(), job.version)],
             changes: vec![Change::Put { key, value: to_value(&record), hold: None }],
         };
-        let work = JobWrite::Progress { done, untouched: record.untouched };
+        let work = JobWrite::Progress { done, all: job.done.len(), untouched: record.untouched };
         self.call_state(request, StateWork::Job { shard: shard_id, claim, job: id.clone(), work });
     }
 
@@ -156,8 +156,9 @@
             return self.drop_shard(shard_id, "the claim is another's");
         }
         match (work, answer) {
-            (JobWrite::Progress { done, untouched }, Ok(StateAnswer::Committed(version))) => {
+            (JobWrite::Progress { done, all, untouched }, Ok(StateAnswer::Committed(version))) => {
                 job.version = version;
+                job.written = all;
                 job.recorded = done;
                 job.untouched = untouched;
             }
@@ -169,6 +170,7 @@
                     Ok(record) => {
                         job.version = entry.version;
                         job.recorded = RangeSet::parse(&record.done, job.spec.tasks).unwrap_or_default();
+                        job.written = job.recorded.len();
                         job.untouched = record.untouched.min(job.spec.tasks);
                         job.unsure = false;
                     }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -121,7 +121,7 @@
     Job { shard: ShardId, claim: Revision, job: JobId, work: ledger::JobWrite },
     FindMachine { ask: AskId, report: Box<crate::protocol::workers::Report> },
     Adopt { shard: ShardId, claim: Revision, ask: AskId, report: Box<crate::protocol::workers::Report> },
-    Forget { shard: ShardId, claim: Revision, machine: MachineId },
+    Forget { shard: ShardId, claim: Revision, machine: MachineId, version: Revision },
     Move { shard: ShardId, claim: Revision, machine: MachineId, to: ShardId },
     FetchMachine { shard: ShardId, claim: Revision },
 }
@@ -365,7 +365,9 @@
             StateWork::Job { shard, claim, job, work } => self.job_written(shard, claim, job, work, answer),
             StateWork::FindMachine { ask, report } => self.machine_found(ask, report, answer),
             StateWork::Adopt { shard, claim, ask, report } => self.adopted(shard, claim, ask, report, answer),
-            StateWork::Forget { shard, claim, machine } => self.machine_forgotten(shard, claim, machine, answer),
+            StateWork::Forget { shard, claim, machine, version } => {
+                self.machine_forgotten(shard, claim, machine, version, answer)
+            }
             StateWork::Move { shard, claim, machine, to } => self.moved(shard, claim, machine, to, answer),
             StateWork::FetchMachine { shard, claim } => self.machine_arrived(shard, claim, answer),
         }
--- a/src/coordination/shard.rs
+++ b/src/coordination/shard.rs
@@ -23,6 +23,9 @@
     pub done: RangeSet,
     /// The part of `done` that stands in the record.
     pub recorded: RangeSet,
+    /// How many completed tasks there were when the record was last written; it may not have had
+    /// room for all of them.
+    pub written: u32,
     /// No task from this number on was ever started, by anybody; so it stands in the record.
     pub untouched: u32,
     pub running: HashMap<u32, (MachineId, AttemptNo)>,
@@ -68,7 +71,7 @@
     }
 
     pub fn is_dirty(&self) -> bool {
-        self.done != self.recorded || self.wants_untouched() > self.untouched
+        self.done.len() != self.written || self.wants_untouched() > self.untouched
     }
 }
 
@@ -194,7 +197,7 @@
     pub retry_moves: Vec<MachineId>,
     pub deleting_until: Time,
     /// Machines that are gone but whose record could not be removed yet.
-    pub leftovers: Vec<MachineId>,
+    pub leftovers: Vec<(MachineId, Revision)>,
 }
 
 /// What became of an attempt that is over.
@@ -290,6 +293,7 @@
             pending,
             unlocated,
             recorded: done.clone(),
+            written: done.len(),
             done,
             untouched,
             running: HashMap::new(),
--- a/src/coordination/workers.rs
+++ b/src/coordination/workers.rs
@@ -83,13 +83,7 @@
         if !self.entitled() {
             return self.reply(Asker::Local(ask), Reply::busy("no right to"));
         }
-        let record = MachineRecord {
-            shard,
-            kind: report.kind.clone(),
-            zone: report.zone.clone(),
-            spot: report.spot,
-            addr: report.addr.to_string(),
-        };
+        let record = record_of(&report, shard);
         let key = records::machine_key(&report.machine);
         let request = StateCall::Commit {
             conditions: vec![(records::shard_key(shard), claim), (key.clone(), Revision(0))],
@@ -112,13 +106,7 @@
         };
         match answer {
             Ok(StateAnswer::Committed(version)) => {
-                let record = MachineRecord {
-                    shard,
-                    kind: report.kind.clone(),
-                    zone: report.zone.clone(),
-                    spot: report.spot,
-                    addr: report.addr.to_string(),
-                };
+                let record = record_of(&report, shard);
                 log::info!("machine {} ({}, {}) joins shard {shard}", report.machine, record.kind, record.zone);
                 mine.add_machine(report.machine.clone(), &record, report.addr, version, now);
                 self.machine_homes.insert(report.machine.clone(), shard);
@@ -360,6 +348,16 @@
     }
 }
 
+fn record_of(report: &Report, shard: ShardId) -> MachineRecord {
+    MachineRecord {
+        shard,
+        kind: report.kind.clone(),
+        zone: report.zone.clone(),
+        spot: report.spot,
+        addr: report.addr.to_string(),
+    }
+}
+
 impl super::shard::Shard {
     /// Stops what should not go down with a machine that is about to be taken.
     fn plan_drain(&mut self, id: &MachineId, market: &Market) {
