Say once what a job allows and how pressing it is

The checks of type, zone and kind of machine stood three times, the sort by time left twice, and preemption and the demand count had a check each that could not matter. Behaviour is unchanged.

--- a/src/coordination/binding.rs
+++ b/src/coordination/binding.rs
@@ -36,9 +36,9 @@
         ahead.find(|left| *left > self.run_time())
     }
 
-    /// Whether the job's own words allow the machine; room and the other tasks aside.
-    pub fn allows(&self, kind: &Name, zone: &Name, spot: bool) -> bool {
-        self.spec.allows_type(kind) && self.spec.allows_zone(zone) && (self.spec.spot || !spot)
+    /// The same in milliseconds, to sort by: most of all where there is nothing left to meet.
+    pub fn left_ms(&self, cfg: &Settings, day_ms: u64) -> u64 {
+        self.time_left(cfg, day_ms).map_or(u64::MAX, |left| (left * 1e3) as u64)
     }
 
     pub fn avoids(&self, machine: &MachineId, now: Time) -> bool {
@@ -92,7 +92,7 @@
                     after.cpus <= limits.cpus && after.gpus <= limits.gpus.max(Amount(0))
                 });
                 // What can still be in time goes before what can't, the most pressing first.
-                let left = job.time_left(market.cfg, market.day_ms).map_or(u64::MAX, |left| (left * 1e3) as u64);
+                let left = job.left_ms(market.cfg, market.day_ms);
                 (job.spec.priority, !within, left, &job.order)
             })
             .collect();
@@ -117,7 +117,7 @@
             other.has_image(image)
                 && other.may_bind(now)
                 && now.since(other.seen) < wait
-                && job.allows(&other.kind, &other.zone, other.spot)
+                && job.spec.allows(&other.kind, &other.zone, other.spot)
                 && !job.avoids(id, now)
                 && market
                     .types
@@ -150,7 +150,7 @@
             for _ in 0..job.pending.len() {
                 let suits = |id: &MachineId| {
                     self.machines.get(id).is_some_and(|machine| {
-                        job.allows(&machine.kind, &machine.zone, machine.spot)
+                        job.spec.allows(&machine.kind, &machine.zone, machine.spot)
                             && !job.avoids(id, now)
                             && self.zone_allows(job, &machine.zone)
                     })
@@ -179,7 +179,6 @@
                         attempt.stop = Some(saves);
                     }
                 }
-                let Some(_) = self.jobs.get(&job_id) else { break };
             }
         }
         picked
@@ -235,7 +234,7 @@
         for (_, job_id) in self.queue(market) {
             while let Some(job) = self.jobs.get(&job_id) {
                 let Some(task) = job.next_task(now).filter(|_| commands.len() < most) else { break };
-                if !job.allows(&kind.name, &zone, spot) || job.avoids(id, now) {
+                if !job.spec.allows(&kind.name, &zone, spot) || job.avoids(id, now) {
                     break;
                 }
                 if !job.spec.needs.fits_in(&room) {
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -455,19 +455,13 @@
 
     /// How many tasks each job should have room for at once, from the queue's front.
     fn demands(&self, shard: &Shard) -> Vec<Demand> {
-        let mut jobs: Vec<_> = shard.jobs.values().filter(|job| job.ending != Some(Final::Done)).collect();
-        let pressing = |job: &super::shard::Job| {
-            job.time_left(&self.cfg, self.day_ms).map_or(u64::MAX, |left| (left * 1e3) as u64)
-        };
-        jobs.sort_by_key(|job| (job.spec.priority, pressing(job), &job.order));
+        let mut jobs: Vec<_> = shard.jobs.values().filter(|job| job.ending.is_none()).collect();
+        jobs.sort_by_key(|job| (job.spec.priority, job.left_ms(&self.cfg, self.day_ms), &job.order));
         let mut demands = Vec::new();
         let mut used: HashMap<&Name, Resources> = HashMap::new();
         let mut services = 0;
         let mut newest: Option<&super::shard::Job> = None;
         for job in &jobs {
-            if job.ending.is_some() {
-                continue;
-            }
             let waiting = job.pending.len() + job.unlocated.len();
             let (wanted, per_slot, per_new_slot) = match job.spec.kind {
                 JobKind::Service => {
@@ -635,7 +629,7 @@
             if left == 0 {
                 return 0;
             }
-            let allowed = (spec.spot || !spot) && spec.allows_type(&bin.kind) && spec.allows_zone(&bin.zone);
+            let allowed = spec.allows(&bin.kind, &bin.zone, spot);
             let avoided = bin.id.as_ref().is_some_and(|id| demand.avoids.contains(id));
             if !allowed || avoided || !types.contains_key(&bin.kind) {
                 continue;
@@ -666,9 +660,10 @@
         offers.sort_by_key(|offer| !offer.spot);
         for offer in offers {
             let spec = &demand.spec;
-            let allowed = (spec.spot || !offer.spot) && spec.allows_type(&offer.kind) && spec.allows_zone(&offer.zone);
+            let allowed = spec.allows(&offer.kind, &offer.zone, offer.spot);
             let Some(kind) = self.cloud.types.get(&offer.kind) else { continue };
-            let slots = kind.room.slots(&spec.needs);
+            let room = kind.room;
+            let slots = room.slots(&spec.needs);
             let taken = self.shards.values().any(|s| s.taking.contains_key(&offer.machine));
             if left == 0 || !allowed || slots == 0 || taken {
                 continue;
@@ -684,7 +679,6 @@
             } else {
                 continue;
             }
-            let room = self.cloud.types.get(&offer.kind).map(|kind| kind.room).unwrap_or_default();
             let (kind, zone, spot) = (offer.kind.clone(), offer.zone.clone(), offer.spot);
             bins.push(Bin { id: None, kind, zone, spot, room, used: false });
             let one = Demand { spec: spec.clone(), count: left, avoids: demand.avoids.clone(), ..*demand };
--- a/src/model.rs
+++ b/src/model.rs
@@ -187,6 +187,11 @@
         self.zone.as_ref().is_none_or(|only| only == zone)
     }
 
+    /// Whether the job's own words allow the machine; room and the other tasks aside.
+    pub fn allows(&self, kind: &Name, zone: &Name, spot: bool) -> bool {
+        self.allows_type(kind) && self.allows_zone(zone) && (self.spot || !spot)
+    }
+
     /// With `spread`, the most tasks that one zone may hold.
     pub fn zone_cap(&self) -> u32 {
         if self.spread { self.tasks.div_ceil(2) } else { u32::MAX }
