Send one rental request per kind of machine and do not wait for refused kinds

Cause: every job short of room queued a request of its own, the controller may send only one or two calls a second, and a queued request counts as machines on their way. Ruled out: processor time (the same without it), the cloud's lag.

Now requests of a kind are one, refusals drop what was not sent yet, and the kind of machine is chosen by what all jobs are short of together; for replicas a large machine counts as dearer, since it goes back only when the last has left.

--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -28,6 +28,12 @@
     pub in_flight: bool,
 }
 
+impl Rental {
+    fn is_of(&self, kind: &Name, zone: &Name, spot: bool) -> bool {
+        self.kind == *kind && self.zone == *zone && self.spot == spot
+    }
+}
+
 pub(super) struct Cloud {
     pub catalog: Option<Vec<MachineType>>,
     pub types: HashMap<Name, MachineType>,
@@ -222,6 +228,7 @@
                     mine.booting.insert(machine.clone(), booting);
                 }
                 if (machines.len() as u32) < rental.count {
+                    mine.drop_unsent(&rental);
                     self.cloud.refuse(&rental, now);
                 } else {
                     self.cloud.refused.remove(&(rental.kind, rental.zone, rental.spot));
@@ -236,6 +243,7 @@
                     rental.zone,
                     if rental.spot { ", spot" } else { "" }
                 );
+                mine.drop_unsent(&rental);
                 self.cloud.refuse(&rental, now);
                 self.cloud.planned_at = Time::ZERO;
             }
@@ -417,8 +425,9 @@
                 missing.push(Demand { count: left, ..demand });
             }
         }
-        let mut rentals = Vec::new();
-        for demand in missing {
+        let ahead = slots_ahead(&missing);
+        let mut rentals: Vec<Rental> = Vec::new();
+        for (demand, ahead) in missing.into_iter().zip(ahead) {
             // What was opened for an earlier job may have room for this one, and what lies idle
             // elsewhere is there sooner than what has to boot.
             let left = fill(&mut bins, &demand, &self.cloud.types);
@@ -427,24 +436,33 @@
             if left == 0 {
                 continue;
             }
-            let Some((kind, zone, spot)) = self.cheapest(&demand.spec, left.div_ceil(demand.per_new_slot), &bins)
-            else {
-                continue;
-            };
+            let Some((kind, zone, spot)) = self.cheapest(&demand.spec, ahead, &bins) else { continue };
             let Some(of_kind) = self.cloud.types.get(&kind) else { continue };
             let per_machine = of_kind.room.slots(&demand.spec.needs).max(1) * demand.per_new_slot;
-            let count = left.div_ceil(per_machine).min(MOST_RENTED);
+            let count = left.div_ceil(per_machine);
             for _ in 0..count {
                 let (kind, zone, room) = (kind.clone(), zone.clone(), of_kind.room);
                 bins.push(Bin { id: None, kind, zone, spot, room, used: false });
             }
             fill(&mut bins, &Demand { count: left, ..demand }, &self.cloud.types);
-            rentals.push(Rental { kind, zone, spot, count, asked: Time::ZERO, in_flight: false });
+            match rentals.iter_mut().find(|rental| rental.is_of(&kind, &zone, spot)) {
+                Some(rental) => rental.count += count,
+                None => rentals.push(Rental { kind, zone, spot, count, asked: Time::ZERO, in_flight: false }),
+            }
         }
         let spare = bins.iter().filter(|bin| !bin.used).filter_map(|bin| bin.id.clone()).collect();
         let Some(shard) = self.shards.get_mut(&id) else { return };
         shard.spare = spare;
-        for rental in rentals {
+        for mut rental in rentals {
+            // One request for all jobs: every call counts, and the cloud either has the machines
+            // or it has not. What has not been sent yet can still grow.
+            let unsent = |other: &&mut Rental| other.asked == Time::ZERO && !other.in_flight;
+            let mut waiting = shard.renting.values_mut().filter(unsent);
+            if let Some(other) = waiting.find(|other| other.is_of(&rental.kind, &rental.zone, rental.spot)) {
+                other.count = (other.count + rental.count).min(MOST_RENTED);
+                continue;
+            }
+            rental.count = rental.count.min(MOST_RENTED);
             self.counter += 1;
             // Unique for ever: no other claim has this revision.
             let request = format!("r-{}-{}", shard.claim, self.counter);
@@ -568,19 +586,28 @@
         bins
     }
 
-    fn cheapest(&self, spec: &JobSpec, count: u32, bins: &[Bin]) -> Option<(Name, Name, bool)> {
+    /// The kind of machine that costs least per slot, if that many slots are wanted in all.
+    fn cheapest(&self, spec: &JobSpec, wanted: u32, bins: &[Bin]) -> Option<(Name, Name, bool)> {
         let mut best: Option<(f64, usize, Name, Name, bool)> = None;
         for kind in self.cloud.catalog.iter().flatten() {
             if !spec.allows_type(&kind.name) || !spec.needs.fits_in(&kind.room) {
                 continue;
             }
-            let machines = count.div_ceil(kind.room.slots(&spec.needs).max(1));
+            let slots = kind.room.slots(&spec.needs).max(1);
+            let machines = wanted.div_ceil(slots);
+            // A machine can go back only when its last replica has left, and with more of them
+            // that takes longer: of n that leave by chance the last stays the n-th harmonic
+            // number times as long as one does.
+            let stranded = match spec.kind {
+                JobKind::Service => (1..=slots.min(wanted)).map(|n| 1.0 / f64::from(n)).sum(),
+                JobKind::Array => 1.0,
+            };
             for spot in [false, true] {
                 if spot && !spec.spot {
                     continue;
                 }
                 let price = if spot { kind.spot_price } else { kind.price };
-                let cost = price * f64::from(machines);
+                let cost = price * f64::from(machines) * stranded;
                 for zone in &kind.zones {
                     if !spec.allows_zone(zone) || self.cloud.is_refused(&kind.name, zone, spot, self.now) {
                         continue;
@@ -620,6 +647,32 @@
     }
 }
 
+impl Shard {
+    /// Drops requests that were not sent yet for what has just been refused. They would count as
+    /// machines on their way until each had its own refusal, and nothing else would be rented.
+    fn drop_unsent(&mut self, refused: &Rental) {
+        self.renting
+            .retain(|_, other| other.asked != Time::ZERO || !other.is_of(&refused.kind, &refused.zone, refused.spot));
+    }
+}
+
+/// For each demand, how many slots it and those of its kind after it are short of. A machine that
+/// is too large for one job alone may be the cheapest for all of them.
+fn slots_ahead(missing: &[Demand]) -> Vec<u32> {
+    let mut sums: HashMap<(JobKind, bool), u32> = HashMap::new();
+    let mut ahead: Vec<u32> = missing
+        .iter()
+        .rev()
+        .map(|demand| {
+            let sum = sums.entry((demand.spec.kind, demand.spec.spot)).or_default();
+            *sum += demand.count.div_ceil(demand.per_new_slot);
+            *sum
+        })
+        .collect();
+    ahead.reverse();
+    ahead
+}
+
 /// Puts as much of the demand as possible into the bins; gives back how many tasks are left.
 fn fill(bins: &mut [Bin], demand: &Demand, types: &HashMap<Name, MachineType>) -> u32 {
     let spec = &demand.spec;
--- a/src/model.rs
+++ b/src/model.rs
@@ -124,7 +124,7 @@
     }
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum JobKind {
     /// Independent tasks, each runs to completion.
