Share the platform's limits among the nodes that hold the teams' shards

Cause: every node kept to an equal part of what the state service and the cloud allow, but with all teams in one shard one node does nearly all of the work: on cusco it wrote 6 of 30 changes and made 1.6 of 8 cloud calls a second while the others' parts lay unused.

Now a quarter is shared out evenly and the rest follows the teams' shards.

--- a/src/config.rs
+++ b/src/config.rs
@@ -219,6 +219,11 @@
 }
 
 impl Settings {
+    /// How many shards take the teams' jobs: the first so many.
+    pub fn team_shards(&self) -> u32 {
+        self.own.team_shards.min(self.shards)
+    }
+
     /// Reads both files; the properties may be absent.
     pub fn load(path: &Path, properties: Option<&Path>) -> Result<Settings, ConfigError> {
         let read = |path: &Path| {
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -50,7 +50,6 @@
 
 impl Cloud {
     pub fn new(cfg: &Settings) -> Cloud {
-        let share = cfg.cloud_rps / cfg.nodes.len() as f64;
         Cloud {
             catalog: None,
             types: HashMap::new(),
@@ -59,13 +58,18 @@
             listed: HashMap::new(),
             listed_at: Time::ZERO,
             list_call: false,
-            budget: Budget::new(share, 2.0 * share),
+            budget: Budget::new(cfg.cloud_rps, 2.0 * cfg.cloud_rps),
             refused: HashMap::new(),
             planned_at: Time::ZERO,
             purging: false,
         }
     }
 
+    /// How many calls a second this node may make. The cloud allows bursts of two seconds' worth.
+    pub fn set_share(&mut self, rate: f64) {
+        self.budget.set_rate(rate, 2.0 * rate);
+    }
+
     fn is_refused(&self, kind: &Name, zone: &Name, spot: bool, now: Time) -> bool {
         self.refused.get(&(kind.clone(), zone.clone(), spot)).is_some_and(|(until, _)| now < *until)
     }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -202,14 +202,15 @@
 
 /// How many entries the tables of where things are may have before they are started anew.
 const MOST_HOMES: usize = 20_000;
+/// How much of the platform's limits is shared out evenly among the nodes.
+const EVEN_PART: f64 = 0.25;
 const FORWARD_TIMEOUT: Span = Span::millis(1500);
 
 impl Controller {
     pub fn new(cfg: Settings, life: u64, clock: Clock) -> Controller {
-        let share = 1.0 / cfg.nodes.len() as f64;
-        let requests = Budget::new(cfg.state_rps * share, cfg.state_rps * share);
-        let writes = Budget::new(cfg.state_writes * share, cfg.state_writes * share);
-        Controller {
+        let requests = Budget::new(cfg.state_rps, cfg.state_rps);
+        let writes = Budget::new(cfg.state_writes, cfg.state_writes);
+        let mut controller = Controller {
             life,
             now: clock.steady,
             day_ms: clock.day_ms,
@@ -239,7 +240,20 @@
             writes,
             cloud: fleet::Cloud::new(&cfg),
             cfg,
-        }
+        };
+        controller.share_limits();
+        controller
+    }
+
+    /// Takes this node's part of what the state service and the cloud allow all nodes together:
+    /// a small even one for what every node does, the rest for those that hold the teams' shards.
+    fn share_limits(&mut self) {
+        let teams = self.cfg.team_shards();
+        let held = self.shards.keys().filter(|shard| shard.0 < teams).count();
+        let share = EVEN_PART / self.cfg.nodes.len() as f64 + (1.0 - EVEN_PART) * held as f64 / f64::from(teams);
+        self.requests.set_rate(self.cfg.state_rps * share, self.cfg.state_rps * share);
+        self.writes.set_rate(self.cfg.state_writes * share, self.cfg.state_writes * share);
+        self.cloud.set_share(self.cfg.cloud_rps * share);
     }
 
     /// Takes one event in and gives back what is to be done about it.
@@ -409,6 +423,7 @@
     }
 
     fn tick(&mut self) {
+        self.share_limits();
         self.members_tick();
         let now = self.now;
         let late: Vec<u64> = self.forwarded.iter().filter(|(_, f)| f.until <= now).map(|(number, _)| *number).collect();
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -285,7 +285,7 @@
     /// partly full could not follow the work from shard to shard.
     fn shard_for(&self, spec: &JobSpec) -> Option<ShardId> {
         let place = self.cfg.teams.keys().position(|team| *team == spec.team)?;
-        Some(ShardId(place as u32 % self.cfg.own.team_shards.min(self.cfg.shards)))
+        Some(ShardId(place as u32 % self.cfg.team_shards()))
     }
 
     pub(super) fn submit_here(&mut self, asker: Asker, shard_id: ShardId, spec: JobSpec) {
