--- a/src/coordination/workers.rs
+++ b/src/coordination/workers.rs
@@ -64,10 +64,12 @@
         }
     }
 
+    /// Where a machine belongs that no record names: the operators' own are shared out evenly, as
+    /// the design has it, but among the shards that take jobs. In the others they would lie idle.
     pub(super) fn default_shard(&self, machine: &MachineId) -> ShardId {
         let digits: String = machine.as_str().chars().filter(char::is_ascii_digit).collect();
         let number = digits.bytes().fold(0u64, |n, b| n.wrapping_mul(10).wrapping_add(u64::from(b - b'0')));
-        ShardId((number % u64::from(self.cfg.shards)) as u32)
+        ShardId((number % u64::from(self.cfg.team_shards())) as u32)
     }
 
     /// Records a machine as this shard's. Only then may its reports be answered with 200.
