Give silent machines back while tasks wait for them; renew leases through longer outages

They had died since leases were renewed only until 5 s less than the limit of a cancellation allows.

Now a machine that does not answer is deleted, which proves its tasks gone: 3 s after a takeover, or after half a lease and an unanswered direct question. Where most machines are silent nothing is deleted. The margin of the renewals without the right is 2 s.

--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -15,6 +15,8 @@
 const USABLE: f64 = 0.85;
 /// How long a refused kind of machine is not asked for again; doubled with each refusal.
 const REFUSED: Span = Span::millis(6_000);
+/// How long after a takeover a machine may take to answer before it is given back.
+const PROOF_WAIT: Span = Span::millis(3_000);
 /// How long after its lease a silent machine that the cloud no longer lists is forgotten.
 const GONE: Span = Span::millis(10_000);
 
@@ -128,6 +130,7 @@
         }
         let ids: Vec<ShardId> = self.shards.values().filter(|s| s.active).map(|s| s.id).collect();
         for id in &ids {
+            self.return_silent(*id);
             self.delete_machines(*id);
             self.retry_moves(*id);
             self.ask_rentals(*id);
@@ -259,6 +262,39 @@
         }
     }
 
+    /// Gives back machines that do not answer while tasks wait for what may be on them. A silent
+    /// machine loses its tasks anyway when its lease runs out, but that may lie far ahead, most of
+    /// all after a takeover; once the cloud has deleted it, its tasks may start elsewhere at once.
+    /// Where most machines are silent the fault is rather on this side, and nothing is given back.
+    fn return_silent(&mut self, id: ShardId) {
+        let now = self.now;
+        let patience = (self.cfg.lease.times(0.5)).max(self.cfg.report.times(3.0));
+        let Some(shard) = self.shards.get_mut(&id) else { return };
+        let (mut heard, mut silent) = (0, Vec::new());
+        for (name, machine) in &shard.machines {
+            let quiet = now.since(machine.seen);
+            if machine.proven && quiet < patience {
+                heard += 1;
+            } else if !machine.deleting
+                && match machine.proven {
+                    true => machine.unanswered > 0 && !machine.is_empty(),
+                    false => quiet >= PROOF_WAIT,
+                }
+            {
+                silent.push(name.clone());
+            }
+        }
+        if silent.len() > heard {
+            return;
+        }
+        for name in silent {
+            log::warn!("machine {name} does not answer and is given back");
+            if let Some(machine) = shard.machines.get_mut(&name) {
+                machine.deleting = true;
+            }
+        }
+    }
+
     fn delete_machines(&mut self, id: ShardId) {
         let now = self.now;
         let Some(shard) = self.shards.get_mut(&id) else { return };
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -290,10 +290,10 @@
 
     /// How long after the end of the right the workers' leases are still renewed. A takeover can
     /// follow right on the end of the right, and a job can be cancelled right after that: its
-    /// tasks must be gone within `cancel` all the same. Their lease and the time a stop takes to
-    /// arrive have to fit in too.
+    /// tasks must be gone within `cancel` all the same: the lease given last has to have run out
+    /// by then, with some time to spare for the worker to notice.
     fn grace(&self) -> Span {
-        self.cfg.cancel - self.cfg.lease.stretched() - Span::millis(5000)
+        self.cfg.cancel - self.cfg.lease.stretched() - Span::millis(2000)
     }
 
     fn may_renew(&self) -> bool {
--- a/src/coordination/shard.rs
+++ b/src/coordination/shard.rs
@@ -130,6 +130,8 @@
     /// Images it is thought to have, newest last.
     pub images: Vec<(Name, f64)>,
     pub probing: bool,
+    /// Direct questions it has left unanswered since it was last heard.
+    pub unanswered: u32,
     /// The cloud has listed it, so it can be given back.
     pub listed: bool,
 }
@@ -567,6 +569,7 @@
             distrusted_until: Time::ZERO,
             images: Vec::new(),
             probing: false,
+            unanswered: 0,
             listed: false,
         }
     }
--- a/src/coordination/workers.rs
+++ b/src/coordination/workers.rs
@@ -175,6 +175,7 @@
         let fresh = machine.proven && machine.answered.is_none() && machine.attempts.is_empty();
         machine.last = this;
         machine.seen = now;
+        machine.unanswered = 0;
         machine.addr = report.addr;
         machine.answered = Some(now);
         machine.notice = report.notice.map(|left| now + left);
@@ -215,12 +216,15 @@
     }
 
     /// Asks machines that a former holder had straight away, rather than waiting for them to
-    /// find this node: the answer comes under the new token.
+    /// find this node: the answer comes under the new token. And asks those that have been silent
+    /// for a while whether they are still there.
     pub(super) fn probe_machines(&mut self, shard_id: ShardId) {
+        let (now, patience) = (self.now, self.cfg.report.times(2.0));
         let Some(shard) = self.shards.get_mut(&shard_id) else { return };
         let mut calls = Vec::new();
         for (id, machine) in &mut shard.machines {
-            if !machine.proven && !machine.probing && !machine.deleting {
+            let due = !machine.proven || (now.since(machine.seen) > patience && !machine.is_empty());
+            if due && !machine.probing && !machine.deleting {
                 machine.probing = true;
                 let session = if machine.last.0.0 == 0 { Session(1) } else { machine.last.0 };
                 calls.push((id.clone(), machine.addr, machine.token, session));
@@ -247,12 +251,22 @@
         let (report, executed) = match answer {
             Ok(WorkerAnswer::Executed(report)) => (report, true),
             Ok(WorkerAnswer::Rejected(report)) => (report, false),
-            Err(_) => return,
+            Err(_) => {
+                machine.unanswered += 1;
+                return;
+            }
         };
         if report.machine != id {
             return;
         }
-        if machine.proven || !entitled {
+        if machine.proven {
+            // It is there. What it says is not read: a command in an answer to a report of it may
+            // still be on its way, and would seem to be missing.
+            machine.seen = now;
+            machine.unanswered = 0;
+            return;
+        }
+        if !entitled {
             return;
         }
         let this = (report.session, report.seq);
