--- a/src/coordination/shard.rs
+++ b/src/coordination/shard.rs
@@ -76,7 +76,7 @@
 }
 
 /// How far ahead of the tasks started the record allows starts.
-pub(super) const LOOKAHEAD: u32 = 64;
+pub(super) const LOOKAHEAD: u32 = 256;
 
 /// From how many jobs' tasks failing on a machine it is thought to be faulty, and for how long
 /// it then gets nothing to do, if it can't be given back.
