Ask the teams' shard about unknown jobs instead of the state service

Users learned late that their jobs were done.

With one shard for all teams the holder is asked at once; reads are shared out more evenly than changes. Answers that put a client off now stand in the debug log with their reason.

--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -202,8 +202,10 @@
 
 /// How many entries the tables of where things are may have before they are started anew.
 const MOST_HOMES: usize = 20_000;
-/// How much of the platform's limits is shared out evenly among the nodes.
-const EVEN_PART: f64 = 0.25;
+/// How much of what the state service and the cloud allow is shared out evenly among the nodes:
+/// all of them renew leases and read for users, but only those with work change much.
+const EVEN_REQUESTS: f64 = 0.6;
+const EVEN_CHANGES: f64 = 0.25;
 const FORWARD_TIMEOUT: Span = Span::millis(1500);
 
 impl Controller {
@@ -250,10 +252,12 @@
     fn share_limits(&mut self) {
         let teams = self.cfg.team_shards();
         let held = self.shards.keys().filter(|shard| shard.0 < teams).count();
-        let share = EVEN_PART / self.cfg.nodes.len() as f64 + (1.0 - EVEN_PART) * held as f64 / f64::from(teams);
-        self.requests.set_rate(self.cfg.state_rps * share, self.cfg.state_rps * share);
-        self.writes.set_rate(self.cfg.state_writes * share, self.cfg.state_writes * share);
-        self.cloud.set_share(self.cfg.cloud_rps * share);
+        let part = |even: f64| even / self.cfg.nodes.len() as f64 + (1.0 - even) * held as f64 / f64::from(teams);
+        let requests = self.cfg.state_rps * part(EVEN_REQUESTS);
+        let writes = self.cfg.state_writes * part(EVEN_CHANGES);
+        self.requests.set_rate(requests, requests);
+        self.writes.set_rate(writes, writes);
+        self.cloud.set_share(self.cfg.cloud_rps * part(EVEN_CHANGES));
     }
 
     /// Takes one event in and gives back what is to be done about it.
@@ -302,7 +306,12 @@
 
     fn reply(&mut self, asker: Asker, reply: Reply) {
         match asker {
-            Asker::Local(id) => self.out.push(Action::Reply { id, reply }),
+            Asker::Local(id) => {
+                if reply.retry_after.is_some() {
+                    log::debug!("put off: {}", reply.body);
+                }
+                self.out.push(Action::Reply { id, reply })
+            }
             Asker::Peer { node, number } => {
                 self.out.push(Action::Send { to: node, message: PeerMessage::Answer { number, reply } })
             }
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -132,6 +132,13 @@
         }
     }
 
+    /// Where a job should be, if anywhere. With one shard for all teams that needs no record: its
+    /// holder knows, or reads the records itself, and this node's reads are kept for when it must.
+    fn home_of_job(&self, job: &JobId) -> Option<ShardId> {
+        let only = (self.cfg.team_shards() == 1).then_some(ShardId(0));
+        self.job_homes.get(job).copied().or(only)
+    }
+
     /// Lets the shard's holder answer.
     fn pass_on(&mut self, asker: Asker, shard: ShardId, job: JobId, ask: PeerAsk) {
         let Asker::Local(id) = asker else {
@@ -163,7 +170,7 @@
         if let Some(shard) = self.shard_with(&job) {
             return self.poll_here(asker, shard, job);
         }
-        match self.job_homes.get(&job).copied() {
+        match self.home_of_job(&job) {
             Some(shard) if !self.shards.contains_key(&shard) && self.live_holder(shard).is_some() => {
                 self.pass_on(asker, shard, job.clone(), PeerAsk::Poll(job))
             }
