Let any node accept a job for a shard whose holder can't be asked

Cause: with one shard for all teams, four of five controllers can take a submission only by asking the holder.

Now such a node writes the acceptance itself, bound to the shard's key as it stands, held or not, and to the job being in no record. A note beside the shards' keys, read with them anyway, tells the holder. Durable before it is told, as before.

--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -3,12 +3,14 @@
 //! `shard/N` says who holds a shard and ends with the holder's lease. `live/JOB` is an accepted
 //! job that has not ended, `end/JOB` one that has: a job moves from the one to the other in a
 //! single transaction, so that a reader that asks for `live` first and `end` second sees it.
-//! `machine/NAME` says which shard a machine belongs to.
+//! `machine/NAME` says which shard a machine belongs to. `shard/new/N/JOB` tells the holder of shard N
+//! of a job that another node accepted for it; it sorts after all shards and is read along with them.
 
 use crate::model::{Final, JobId, JobSpec, MachineId, Name, NodeLabel, ShardId};
 use serde::{Deserialize, Serialize};
 
 pub const SHARDS: &str = "shard/";
+const NOTES: &str = "shard/new/";
 pub const LIVE: &str = "live/";
 pub const MACHINES: &str = "machine/";
 
@@ -16,6 +18,17 @@
     format!("{SHARDS}{shard}")
 }
 
+/// Where a node that does not hold a shard notes that it has accepted a job for it.
+pub fn note_key(shard: ShardId, job: &JobId) -> String {
+    format!("{NOTES}{shard}/{job}")
+}
+
+/// The shard and the job of a note's key.
+pub fn parse_note(key: &str) -> Option<(ShardId, JobId)> {
+    let (shard, job) = key.strip_prefix(NOTES)?.split_once('/')?;
+    Some((ShardId(shard.parse().ok()?), JobId::new(job)))
+}
+
 pub fn live_key(job: &JobId) -> String {
     format!("{LIVE}{job}")
 }
--- a/src/coordination/members.rs
+++ b/src/coordination/members.rs
@@ -131,6 +131,9 @@
                 None => self.shard_absent(id),
             }
         }
+        for entry in &entries {
+            self.note_seen(&entry.key, entry.version);
+        }
     }
 
     fn shard_seen(&mut self, id: ShardId, entry: &Entry) {
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -21,7 +21,7 @@
 use crate::protocol::{CallError, Reply};
 use crate::time::{Span, Time};
 use shard::Shard;
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::net::SocketAddrV4;
 
 /// A request of a user or a worker that waits for its reply.
@@ -109,21 +109,79 @@
 
 /// Calls to the state service and what to do with their answers.
 enum StateWork {
-    Grant { sent: Time },
-    Touch { hold: HoldId, sent: Time },
+    Grant {
+        sent: Time,
+    },
+    Touch {
+        hold: HoldId,
+        sent: Time,
+    },
     Watch,
-    Claim { shard: ShardId, hold: HoldId },
-    Release { shard: ShardId, claim: Revision, to: NodeLabel },
-    LoadJobs { shard: ShardId, claim: Revision },
-    LoadMachines { shard: ShardId, claim: Revision },
+    Claim {
+        shard: ShardId,
+        hold: HoldId,
+    },
+    Release {
+        shard: ShardId,
+        claim: Revision,
+        to: NodeLabel,
+    },
+    LoadJobs {
+        shard: ShardId,
+        claim: Revision,
+    },
+    LoadMachines {
+        shard: ShardId,
+        claim: Revision,
+    },
     Lookup(Box<users::Lookup>),
-    Accept { shard: ShardId, claim: Revision, record: Box<crate::bookkeeping::records::LiveRecord> },
-    Job { shard: ShardId, claim: Revision, job: JobId, work: ledger::JobWrite },
-    FindMachine { ask: AskId, report: Box<crate::protocol::workers::Report> },
-    Adopt { shard: ShardId, claim: Revision, ask: AskId, report: Box<crate::protocol::workers::Report> },
-    Forget { shard: ShardId, claim: Revision, machine: MachineId, version: Revision },
-    Move { shard: ShardId, claim: Revision, machine: MachineId, to: ShardId },
-    FetchMachine { shard: ShardId, claim: Revision },
+    /// A note of a job accepted by another node: its record is read, then the note removed.
+    ReadNoted {
+        shard: ShardId,
+        claim: Revision,
+        note: String,
+        version: Revision,
+    },
+    RemoveNote {
+        note: String,
+    },
+    Accept {
+        shard: ShardId,
+        claim: Revision,
+        record: Box<crate::bookkeeping::records::LiveRecord>,
+    },
+    Job {
+        shard: ShardId,
+        claim: Revision,
+        job: JobId,
+        work: ledger::JobWrite,
+    },
+    FindMachine {
+        ask: AskId,
+        report: Box<crate::protocol::workers::Report>,
+    },
+    Adopt {
+        shard: ShardId,
+        claim: Revision,
+        ask: AskId,
+        report: Box<crate::protocol::workers::Report>,
+    },
+    Forget {
+        shard: ShardId,
+        claim: Revision,
+        machine: MachineId,
+        version: Revision,
+    },
+    Move {
+        shard: ShardId,
+        claim: Revision,
+        machine: MachineId,
+        to: ShardId,
+    },
+    FetchMachine {
+        shard: ShardId,
+        claim: Revision,
+    },
 }
 
 /// Calls to the cloud and what to do with their answers.
@@ -140,6 +198,8 @@
     ask: AskId,
     until: Time,
     job: JobId,
+    /// A submission: if the other node can't take it, this one may be able to.
+    spec: Option<Box<JobSpec>>,
 }
 
 /// One controller.
@@ -171,6 +231,8 @@
 
     forwarded: HashMap<u64, Forwarded>,
     accepting: HashMap<JobId, Vec<Asker>>,
+    /// Notes that are being read or removed.
+    notes: HashSet<String>,
     ended: Ended,
     job_homes: HashMap<JobId, ShardId>,
     machine_homes: HashMap<MachineId, ShardId>,
@@ -206,7 +268,10 @@
 /// all of them renew leases and read for users, but only those with work change much.
 const EVEN_REQUESTS: f64 = 0.6;
 const EVEN_CHANGES: f64 = 0.25;
+/// How long another node may take to answer for a user: for a submission not long, since this node
+/// can then still accept it in time.
 const FORWARD_TIMEOUT: Span = Span::millis(1500);
+const SUBMIT_TIMEOUT: Span = Span::millis(500);
 
 impl Controller {
     pub fn new(cfg: Settings, life: u64, clock: Clock) -> Controller {
@@ -235,6 +300,7 @@
             peers: BTreeMap::new(),
             forwarded: HashMap::new(),
             accepting: HashMap::new(),
+            notes: HashSet::new(),
             ended: Ended { jobs: HashMap::new(), order: VecDeque::new(), most: cfg.own.ended_kept },
             job_homes: HashMap::new(),
             machine_homes: HashMap::new(),
@@ -384,6 +450,12 @@
             StateWork::LoadJobs { shard, claim } => self.loaded_jobs(shard, claim, answer),
             StateWork::LoadMachines { shard, claim } => self.loaded_machines(shard, claim, answer),
             StateWork::Lookup(lookup) => self.looked_up(*lookup, answer),
+            StateWork::ReadNoted { shard, claim, note, version } => {
+                self.noted_read(shard, claim, note, version, answer)
+            }
+            StateWork::RemoveNote { note } => {
+                self.notes.remove(&note);
+            }
             StateWork::Accept { shard, claim, record } => self.accept_answered(shard, claim, *record, answer),
             StateWork::Job { shard, claim, job, work } => self.job_written(shard, claim, job, work, answer),
             StateWork::FindMachine { ask, report } => self.machine_found(ask, report, answer),
@@ -425,7 +497,10 @@
                     if reply.status == 404 {
                         self.job_homes.remove(&forwarded.job);
                     }
-                    self.reply(Asker::Local(forwarded.ask), reply);
+                    match forwarded.spec {
+                        Some(spec) if reply.status == 503 => self.submit_from_afar(Asker::Local(forwarded.ask), *spec),
+                        _ => self.reply(Asker::Local(forwarded.ask), reply),
+                    }
                 }
             }
         }
@@ -437,8 +512,10 @@
         let now = self.now;
         let late: Vec<u64> = self.forwarded.iter().filter(|(_, f)| f.until <= now).map(|(number, _)| *number).collect();
         for number in late {
-            if let Some(forwarded) = self.forwarded.remove(&number) {
-                self.reply(Asker::Local(forwarded.ask), Reply::busy("the job's node does not answer"));
+            let Some(forwarded) = self.forwarded.remove(&number) else { continue };
+            match forwarded.spec {
+                Some(spec) => self.submit_from_afar(Asker::Local(forwarded.ask), *spec),
+                None => self.reply(Asker::Local(forwarded.ask), Reply::busy("the job's node does not answer")),
             }
         }
         if self.job_homes.len() > MOST_HOMES {
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -148,11 +148,17 @@
             Some(to) => {
                 self.next_call += 1;
                 let number = self.next_call;
-                let until = self.now + FORWARD_TIMEOUT;
-                self.forwarded.insert(number, Forwarded { ask: id, until, job });
+                let (spec, timeout) = match &ask {
+                    PeerAsk::Submit(spec) => (Some(spec.clone()), SUBMIT_TIMEOUT),
+                    _ => (None, FORWARD_TIMEOUT),
+                };
+                self.forwarded.insert(number, Forwarded { ask: id, until: self.now + timeout, job, spec });
                 self.out.push(Action::Send { to, message: PeerMessage::Ask { number, shard, ask } });
             }
-            None => self.reply(asker, Reply::busy("its shard is changing hands")),
+            None => match ask {
+                PeerAsk::Submit(spec) => self.submit_from_afar(asker, *spec),
+                _ => self.reply(asker, Reply::busy("its shard is changing hands")),
+            },
         }
     }
 
@@ -259,7 +265,10 @@
             return self.known_or(asker, id, Reply::error(422, why));
         }
         match self.shard_for(&spec) {
-            Some(shard) if self.shards.contains_key(&shard) => self.submit_here(asker, shard, spec),
+            Some(shard) if self.shards.get(&shard).is_some_and(|mine| mine.active) => {
+                self.submit_here(asker, shard, spec)
+            }
+            Some(shard) if self.shards.contains_key(&shard) => self.submit_from_afar(asker, spec),
             Some(shard) => {
                 self.job_homes.insert(id.clone(), shard);
                 self.pass_on(asker, shard, id, PeerAsk::Submit(Box::new(spec)))
@@ -308,13 +317,32 @@
             let reply = live_view(job);
             return self.reply(asker, reply);
         }
+        let claim = shard.claim;
+        self.write_accept(asker, shard_id, claim, spec, false);
+    }
+
+    /// Accepts a job for a shard whose holder can't be asked: it is between two holders, or the
+    /// network between the nodes is down. The record is bound to the shard's key just as it stands,
+    /// held or not; whoever holds the shard next loads it, and who holds it now finds the note.
+    pub(super) fn submit_from_afar(&mut self, asker: Asker, spec: JobSpec) {
+        let Some(shard) = self.shard_for(&spec) else {
+            return self.reply(asker, Reply::busy("no shard to put it in"));
+        };
+        let Some(view) = self.views.get(shard.0 as usize).filter(|_| self.hold.is_some()) else {
+            return self.reply(asker, Reply::busy("no fresh state"));
+        };
+        let version = if view.holder.is_some() { view.claim } else { Revision(0) };
+        self.write_accept(asker, shard, version, spec, true);
+    }
+
+    fn write_accept(&mut self, asker: Asker, shard: ShardId, claim: Revision, spec: JobSpec, from_afar: bool) {
+        let id = spec.id.clone();
         if let Some(askers) = self.accepting.get_mut(&id) {
             askers.push(asker);
             return;
         }
-        let claim = shard.claim;
         let record = LiveRecord {
-            shard: shard_id,
+            shard,
             accepted_ms: self.day_ms,
             done: String::new(),
             untouched: spec.tasks.min(FIRST_STARTS),
@@ -325,17 +353,72 @@
             return self.reply(asker, Reply::error(400, "larger than can be recorded"));
         }
         let key = records::live_key(&id);
-        let request = StateCall::Commit {
-            conditions: vec![
-                (records::shard_key(shard_id), claim),
-                (key.clone(), Revision(0)),
-                (records::end_key(&id), Revision(0)),
-            ],
-            changes: vec![Change::Put { key, value, hold: None }],
-        };
+        let conditions =
+            vec![(records::shard_key(shard), claim), (key.clone(), Revision(0)), (records::end_key(&id), Revision(0))];
+        let mut changes = vec![Change::Put { key, value, hold: None }];
+        if from_afar {
+            let value = serde_json::json!({});
+            changes.push(Change::Put { key: records::note_key(shard, &id), value, hold: None });
+        }
         self.accepting.insert(id, vec![asker]);
         let record = Box::new(record);
-        self.call_state(request, StateWork::Accept { shard: shard_id, claim, record });
+        self.call_state(StateCall::Commit { conditions, changes }, StateWork::Accept { shard, claim, record });
+    }
+
+    /// A job that another node accepted for one of this node's shards.
+    pub(super) fn note_seen(&mut self, note: &str, version: Revision) {
+        let Some((shard_id, job)) = records::parse_note(note) else { return };
+        let Some(shard) = self.shards.get(&shard_id).filter(|shard| shard.active) else { return };
+        if !self.entitled() || self.notes.contains(note) {
+            return;
+        }
+        let claim = shard.claim;
+        self.notes.insert(note.to_string());
+        if shard.jobs.contains_key(&job) || self.ended.jobs.contains_key(&job) {
+            return self.remove_note(shard_id, claim, note.to_string(), version);
+        }
+        let work = StateWork::ReadNoted { shard: shard_id, claim, note: note.to_string(), version };
+        self.call_state(StateCall::Get(records::live_key(&job)), work);
+    }
+
+    pub(super) fn noted_read(
+        &mut self,
+        shard_id: ShardId,
+        claim: Revision,
+        note: String,
+        version: Revision,
+        answer: Result<StateAnswer, CallError>,
+    ) {
+        let now = self.now;
+        let Some(shard) = self.shard_under(shard_id, claim) else {
+            self.notes.remove(&note);
+            return;
+        };
+        match answer {
+            Ok(StateAnswer::Found(entry)) => match serde_json::from_value::<LiveRecord>(entry.value) {
+                // It was not there when this claim's records were loaded, so it was accepted under
+                // this claim and nothing of it has been started.
+                Ok(record) if record.shard == shard_id && !shard.jobs.contains_key(&record.job.id) => {
+                    log::info!("job {} was accepted by another node", record.job.id);
+                    shard.accept_job(record, entry.version, now);
+                }
+                _ => {}
+            },
+            // It has ended.
+            Ok(StateAnswer::Missing) => {}
+            _ => {
+                self.notes.remove(&note);
+                return;
+            }
+        }
+        self.remove_note(shard_id, claim, note, version);
+    }
+
+    fn remove_note(&mut self, shard: ShardId, claim: Revision, note: String, version: Revision) {
+        let conditions = vec![(records::shard_key(shard), claim), (note.clone(), version)];
+        let request = StateCall::Commit { conditions, changes: vec![Change::Delete(note.clone())] };
+        // Whatever comes of it: a note that is still there is seen again.
+        self.call_state(request, StateWork::RemoveNote { note });
     }
 
     pub(super) fn accept_answered(
