Place replicas by image, then on small machines, then beside other replicas

Making room took no heed of images, which take 4 s to fetch of the 5 s that a start may take.

Now a place is judged in one way for waiting and for making room: image, size, none of the same job, others there; room that is being made counts. A replica waits for a better place only where its class's aim leaves time for that.

--- a/src/config.rs
+++ b/src/config.rs
@@ -137,6 +137,8 @@
     pub teams: BTreeMap<Name, TeamLimits>,
     /// The times within which a class's jobs should finish, the strictest first.
     pub finish_within: BTreeMap<Name, Vec<Span>>,
+    /// The time within which a class's tasks should start, the strictest if there are several.
+    pub start_within: BTreeMap<Name, Span>,
     pub report: Span,
     pub lease: Span,
     pub cancel: Span,
@@ -299,11 +301,17 @@
             );
         }
         let mut finish_within: BTreeMap<Name, Vec<Span>> = BTreeMap::new();
+        let mut start_within: BTreeMap<Name, Span> = BTreeMap::new();
         for aim in &facts.objectives {
             let (Some(class), Some(within)) = (&aim.class, aim.within_s) else { continue };
             let (class, within) = (Name::new(class), Span::secs(within));
-            if aim.kind == "finished" {
-                finish_within.entry(class).or_default().push(within);
+            match aim.kind.as_str() {
+                "finished" => finish_within.entry(class).or_default().push(within),
+                "wait" => {
+                    let strictest = start_within.entry(class).or_insert(within);
+                    *strictest = within.min(*strictest);
+                }
+                _ => {}
             }
         }
         finish_within.values_mut().for_each(|times| times.sort());
@@ -332,6 +340,7 @@
             shards: facts.size,
             teams,
             finish_within,
+            start_within,
             report: Span::secs(facts.workers.report_s),
             lease,
             cancel,
--- a/src/coordination/binding.rs
+++ b/src/coordination/binding.rs
@@ -20,6 +20,9 @@
     pub day_ms: u64,
 }
 
+/// See `Shard::place_for`.
+type Place = (bool, Amount, bool, bool);
+
 impl Job {
     /// The next task that may be started, if any may be.
     pub fn next_task(&self, now: Time) -> Option<u32> {
@@ -100,34 +103,55 @@
         line.into_iter().map(|(_, over, _, (_, id))| (!over, id.clone())).collect()
     }
 
-    /// Whether a replica should rather wait for another machine's report: one that has its image
-    /// already and room, and that will report before this one could have fetched the image.
+    /// How well a machine suits a replica; the least is the best. One that has its image comes
+    /// first, since fetching takes longer than anything else here. Then small machines: a replica
+    /// stays long, and a machine with one on it can't be given back. Then one without a replica of
+    /// the same job, which a single failure would take along, and one that has other replicas.
+    fn place_for(&self, job: &Job, machine: &Machine, room: &Resources) -> Place {
+        let runs = |attempt: &&Attempt| !attempt.is_over() && attempt.stop.is_none();
+        let mut replicas = machine.attempts.values().filter(runs).filter(|attempt| {
+            self.jobs.get(&attempt.task.job).is_some_and(|other| other.spec.kind == JobKind::Service)
+        });
+        let (mut any, mut own) = (false, false);
+        replicas.by_ref().for_each(|attempt| {
+            any = true;
+            own |= attempt.task.job == job.spec.id;
+        });
+        (!machine.has_image(&job.spec.image), room.cpus, own, !any)
+    }
+
+    /// Whether a replica should rather wait for another machine's report: one that suits it better
+    /// and has room, if its class's aim leaves time for that, or one that will report before this
+    /// one could have fetched the image.
     fn better_elsewhere(&self, job: &Job, here: &MachineId, market: &Market) -> bool {
-        let image = &job.spec.image;
         let wait = market.cfg.report.times(1.5);
-        if job.spec.kind != JobKind::Service || market.now.since(job.waiting_since) > wait {
+        let now = market.now;
+        if job.spec.kind != JobKind::Service || now.since(job.waiting_since) > wait {
             return false;
         }
-        let (Some(machine), now) = (self.machines.get(here), market.now) else { return false };
+        let Some(machine) = self.machines.get(here) else { return false };
         let Some(kind) = market.types.get(&machine.kind) else { return false };
-        if machine.has_image(image) || Span::secs(job.spec.image_gb / kind.fetch_gb_per_s) < market.cfg.report {
+        let unhurried = market.cfg.start_within.get(&job.spec.class).is_none_or(|within| *within >= wait.times(2.0));
+        let place = self.place_for(job, machine, &kind.room);
+        let fetch = Span::secs(job.spec.image_gb / kind.fetch_gb_per_s);
+        if !unhurried && (!place.0 || fetch < market.cfg.report) {
             return false;
         }
         self.machines.iter().any(|(id, other)| {
-            other.has_image(image)
-                && other.may_bind(now)
+            other.may_bind(now)
                 && now.since(other.seen) < wait
                 && job.spec.allows(&other.kind, &other.zone, other.spot)
                 && !job.avoids(id, now)
-                && market
-                    .types
-                    .get(&other.kind)
-                    .is_some_and(|kind| job.spec.needs.fits_in(&kind.room.minus(&other.used())))
+                && market.types.get(&other.kind).is_some_and(|kind| {
+                    let there = self.place_for(job, other, &kind.room);
+                    let better = if unhurried { there < place } else { !there.0 };
+                    better && job.spec.needs.fits_in(&kind.room.minus(&other.staying()))
+                })
         })
     }
 
-    /// Picks tasks to be stopped so that waiting tasks of higher priority get room. Work lost is
-    /// kept small: the machine where the least has been done, and there the youngest tasks.
+    /// Picks tasks to be stopped so that waiting tasks of higher priority get room: on the machine
+    /// that suits best, and there the youngest tasks, so that little work is lost.
     pub fn preempt(&mut self, market: &Market) -> Vec<(MachineId, Vec<AttemptNo>)> {
         let now = market.now;
         let mut picked: Vec<(MachineId, Vec<AttemptNo>)> = Vec::new();
@@ -136,9 +160,7 @@
         let mut rooms: Vec<(MachineId, Resources)> = Vec::new();
         for (id, machine) in self.machines.iter().filter(|(_, machine)| machine.may_bind(now)) {
             if let Some(kind) = market.types.get(&machine.kind) {
-                let staying = machine.attempts.values().filter(|attempt| !attempt.is_over() && attempt.stop.is_none());
-                let used = staying.fold(Resources::default(), |sum, attempt| sum.plus(&attempt.needs));
-                rooms.push((id.clone(), kind.room.minus(&used)));
+                rooms.push((id.clone(), kind.room.minus(&machine.staying())));
             }
         }
         for (_, job_id) in queue {
@@ -160,14 +182,17 @@
                     *room = room.minus(&job.spec.needs);
                     continue;
                 }
-                let mut best: Option<(f64, usize, Vec<AttemptNo>, Resources)> = None;
+                let mut best: Option<(Place, f64, usize, Vec<AttemptNo>, Resources)> = None;
                 for (at, (id, room)) in rooms.iter().enumerate().filter(|(_, (id, _))| suits(id)) {
+                    let Some(machine) = self.machines.get(id) else { continue };
+                    let Some(kind) = market.types.get(&machine.kind) else { continue };
                     let Some((loss, victims, freed)) = self.cheapest_victims(job, id, room, now) else { continue };
-                    if best.as_ref().is_none_or(|(least, ..)| loss < *least) {
-                        best = Some((loss, at, victims, freed));
+                    let place = self.place_for(job, machine, &kind.room);
+                    if best.as_ref().is_none_or(|(first, least, ..)| (place, loss) < (*first, *least)) {
+                        best = Some((place, loss, at, victims, freed));
                     }
                 }
-                let Some((_, at, victims, freed)) = best else { break };
+                let Some((_, _, at, victims, freed)) = best else { break };
                 rooms[at].1 = rooms[at].1.plus(&freed).minus(&job.spec.needs);
                 picked.push((rooms[at].0.clone(), victims.clone()));
                 let id = rooms[at].0.clone();
--- a/src/coordination/shard.rs
+++ b/src/coordination/shard.rs
@@ -148,6 +148,12 @@
         live.fold(Resources::default(), |sum, attempt| sum.plus(&attempt.needs))
     }
 
+    /// The same without what has been told to stop.
+    pub fn staying(&self) -> Resources {
+        let live = self.attempts.values().filter(|attempt| !attempt.is_over() && attempt.stop.is_none());
+        live.fold(Resources::default(), |sum, attempt| sum.plus(&attempt.needs))
+    }
+
     pub fn is_empty(&self) -> bool {
         self.attempts.values().all(Attempt::is_over)
     }
