--- a/src/coordination/binding.rs
+++ b/src/coordination/binding.rs
@@ -1,15 +1,13 @@
 //! Late binding: when a worker reports room, the first tasks from the queue's front that fit go
 //! to it. Nothing is bound before.
 
-use super::shard::{Attempt, Goal, Job, Machine, Shard};
+use super::shard::{Attempt, Job, Machine, Shard};
 use crate::config::Settings;
 use crate::model::*;
 use crate::protocol::workers::Command;
 use crate::time::{Span, Time};
-use std::collections::{BTreeSet, HashMap};
+use std::collections::HashMap;
 
-/// The part of the room that is planned with: estimates are often wrong.
-pub(super) const USABLE: f64 = 0.85;
 /// How long a machine on which a job's task failed gets no other task of that job.
 const AVOID: Span = Span::millis(90_000);
 
@@ -35,29 +33,15 @@
     /// Seconds left until the job should be done: until its deadline, or until the first of its
     /// class's aims that can still be met. Nothing if there is none left to meet.
     pub fn time_left(&self, cfg: &Settings, day_ms: u64) -> Option<f64> {
-        let age = self.age(day_ms);
-        self.aims(cfg).map(|within| within - age).find(|left| *left > self.run_time())
+        let age = day_ms.saturating_sub(self.accepted_ms) as f64 / 1000.0;
+        let aims = cfg.finish_within.get(&self.spec.class).into_iter().flatten().map(|within| within.as_secs());
+        let mut ahead = self.spec.deadline_s.into_iter().chain(aims).map(|within| within - age);
+        ahead.find(|left| *left > self.run_time())
     }
 
-    /// Seconds since its acceptance.
-    pub fn age(&self, day_ms: u64) -> f64 {
-        day_ms.saturating_sub(self.accepted_ms) as f64 / 1000.0
-    }
-
-    /// Its deadline and its class's aims, in seconds from its acceptance.
-    pub fn aims<'a>(&'a self, cfg: &'a Settings) -> impl Iterator<Item = f64> + 'a {
-        let class = cfg.finish_within.get(&self.spec.class).into_iter().flatten();
-        self.spec.deadline_s.into_iter().chain(class.map(|within| within.as_secs()))
-    }
-
-    /// Milliseconds left, to sort by: most of all where there is nothing left to meet.
+    /// The same in milliseconds, to sort by: most of all where there is nothing left to meet.
     pub fn left_ms(&self, cfg: &Settings, day_ms: u64) -> u64 {
-        let left = match self.goal {
-            Goal::First => self.time_left(cfg, day_ms),
-            Goal::Within(within) => Some(within - self.age(day_ms)).filter(|left| *left > 0.0),
-            Goal::None => None,
-        };
-        left.map_or(u64::MAX, |left| (left * 1e3) as u64)
+        self.time_left(cfg, day_ms).map_or(u64::MAX, |left| (left * 1e3) as u64)
     }
 
     pub fn avoids(&self, machine: &MachineId, now: Time) -> bool {
@@ -136,57 +120,6 @@
         (!machine.has_image(&job.spec.image), room.cpus, own, !any)
     }
 
-    /// Decides which arrays to have done in time when there is not room for all: the last in the
-    /// line of the most pressing first would make each one late. Going through their aims in time
-    /// order, whenever what is kept does not fit any more, the job goes that brings least for its
-    /// work; it may still fit by a later aim of its own. Classes count alike, however many jobs
-    /// they have, since each has aims of its own. `cpus` is what arrays can use at once.
-    pub fn triage(&mut self, cpus: f64, market: &Market) {
-        let mut line: BTreeSet<(u64, usize, usize)> = BTreeSet::new();
-        let mut jobs = Vec::new();
-        for job in self.jobs.values_mut().filter(|job| job.ending.is_none() && job.spec.kind == JobKind::Array) {
-            let age = job.age(market.day_ms);
-            let run = job.run_time();
-            let aims: Vec<f64> = job.aims(market.cfg).filter(|within| within - age > run).collect();
-            job.goal = Goal::None;
-            if aims.is_empty() {
-                continue;
-            }
-            // What runs has half of its way behind it.
-            let waiting = f64::from(job.pending.len() + job.unlocated.len());
-            let work = (waiting + job.running.len() as f64 * 0.5) * run * job.spec.needs.cpus.value();
-            let alike = self.seen.get(&job.spec.class).copied().unwrap_or(1).max(1);
-            jobs.push((job.spec.id.clone(), age, aims, work, 1.0 / (f64::from(alike) * work.max(1e-3))));
-        }
-        // So that the outcome does not depend on the order in memory.
-        jobs.sort_by(|a, b| a.0.cmp(&b.0));
-        for (at, (_, age, aims, ..)) in jobs.iter().enumerate() {
-            line.insert((((aims[0] - age) * 1e3) as u64, at, 0));
-        }
-        let mut kept: Vec<(f64, usize, usize)> = Vec::new();
-        let mut total = 0.0;
-        while let Some((left_ms, at, aim)) = line.pop_first() {
-            total += jobs[at].3;
-            kept.push((jobs[at].4, at, aim));
-            let room = cpus * USABLE * left_ms as f64 / 1e3;
-            while total > room {
-                let Some(least) = (0..kept.len()).min_by(|a, b| kept[*a].0.total_cmp(&kept[*b].0)) else { break };
-                let (_, out, aim) = kept.swap_remove(least);
-                total -= jobs[out].3;
-                let (_, age, aims, ..) = &jobs[out];
-                if let Some(later) = aims.get(aim + 1) {
-                    let later_ms = ((later - age) * 1e3) as u64;
-                    line.insert((later_ms.max(left_ms), out, aim + 1));
-                }
-            }
-        }
-        for (_, at, aim) in kept {
-            if let Some(job) = self.jobs.get_mut(&jobs[at].0) {
-                job.goal = Goal::Within(jobs[at].2[aim]);
-            }
-        }
-    }
-
     /// Whether a replica should rather wait for another machine's report: one that suits it better
     /// and has room, if its class's aim leaves time for that, or one that will report before this
     /// one could have fetched the image.
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -1,7 +1,6 @@
 //! The fleet: pending plus running work over a per-machine target, rented where it is cheapest
 //! and to be had, and given back when there is no work for it.
 
-use super::binding::{Market, USABLE};
 use super::shard::{Booting, Shard};
 use super::*;
 use crate::bookkeeping::records::{self, MachineRecord};
@@ -12,6 +11,8 @@
 const CATALOG_AGE: Span = Span::millis(60_000);
 const LIST_PAUSE: Span = Span::millis(5_000);
 const PLAN_PAUSE: Span = Span::millis(1_000);
+/// The part of the time left that is planned with: estimates are often wrong.
+const USABLE: f64 = 0.85;
 /// How long a refused kind of machine is not asked for again; doubled with each refusal.
 const REFUSED: Span = Span::millis(6_000);
 /// How long after a takeover a machine may take to answer before it is given back.
@@ -457,11 +458,6 @@
         let Some(shard) = self.shards.get(&id) else { return };
         let demands = self.demands(shard);
         let mut bins = self.bins(shard);
-        let cpus = bins.iter().map(|bin| bin.room.cpus.value()).sum();
-        let market = Market { cfg: &self.cfg, types: &self.cloud.types, now, day_ms: self.day_ms };
-        if let Some(shard) = self.shards.get_mut(&id) {
-            shard.triage(cpus, &market);
-        }
         let mut missing: Vec<Demand> = Vec::new();
         for demand in demands {
             let left = fill(&mut bins, &demand, &self.cloud.types);
@@ -518,10 +514,7 @@
     /// How many tasks each job should have room for at once, from the queue's front.
     fn demands(&self, shard: &Shard) -> Vec<Demand> {
         let mut jobs: Vec<_> = shard.jobs.values().filter(|job| job.ending.is_none()).collect();
-        let left = |job: &super::shard::Job| {
-            job.time_left(&self.cfg, self.day_ms).map_or(u64::MAX, |left| (left * 1e3) as u64)
-        };
-        jobs.sort_by_key(|job| (job.spec.priority, left(job), &job.order));
+        jobs.sort_by_key(|job| (job.spec.priority, job.left_ms(&self.cfg, self.day_ms), &job.order));
         let mut demands = Vec::new();
         let mut used: HashMap<&Name, Resources> = HashMap::new();
         let mut services = 0;
--- a/src/coordination/shard.rs
+++ b/src/coordination/shard.rs
@@ -46,18 +46,6 @@
     pub waiting_since: Time,
     /// Run times seen, to judge the owner's estimate by.
     pub ran: (f64, u32),
-    /// What the last triage made of it.
-    pub goal: Goal,
-}
-
-/// By when a job is to be done, in seconds from its acceptance.
-#[derive(Clone, Copy, PartialEq, Debug)]
-pub(super) enum Goal {
-    /// The first of its aims that it can still meet by itself.
-    First,
-    Within(f64),
-    /// There is no room for it to meet any.
-    None,
 }
 
 impl Job {
@@ -210,8 +198,6 @@
     /// Reports that came while it was loading.
     pub early: Vec<(AskId, Box<Report>)>,
     pub usage: HashMap<Name, Resources>,
-    /// How many jobs of each class there were under this claim.
-    pub seen: HashMap<Name, u32>,
     /// Offered machines of other shards that were asked for lately.
     pub taking: BTreeMap<MachineId, (Offer, Time)>,
     /// Machines that the last count had no work for.
@@ -244,7 +230,6 @@
             renting: BTreeMap::new(),
             early: Vec::new(),
             usage: HashMap::new(),
-            seen: HashMap::new(),
             taking: BTreeMap::new(),
             spare: HashSet::new(),
             retry_moves: Vec::new(),
@@ -308,7 +293,6 @@
         done: RangeSet,
     ) {
         let id = spec.id.clone();
-        *self.seen.entry(spec.class.clone()).or_default() += 1;
         let job = Job {
             order: (accepted_ms, id.clone()),
             spec,
@@ -332,7 +316,6 @@
             skipped_since: None,
             waiting_since: self.claimed_at,
             ran: (0.0, 0),
-            goal: Goal::First,
         };
         self.jobs.insert(id, job);
     }
