Keep the line in order between reports and scan nothing per report

Cause: every report put all jobs in order anew, summed up all machines once per team and once per task bound, and went through all jobs for finished ones and all machines for unproven ones; making room did the same ten times a second.

Now the line is kept for 200 ms or until a job is new in it, the scans are made only while something is unproven, finished arrays are noted when their last task ends, and a report stops at the point where nothing waiting fits its room. Steps are counted, for a test that needs no clock.

--- a/src/coordination/binding.rs
+++ b/src/coordination/binding.rs
@@ -1,13 +1,16 @@
 //! Late binding: when a worker reports room, the first tasks from the queue's front that fit go
 //! to it. Nothing is bound before.
 
-use super::shard::{Attempt, Job, Machine, Shard};
+use super::shard::{Attempt, Job, Line, Machine, Shard};
 use crate::config::Settings;
 use crate::model::*;
 use crate::protocol::workers::Command;
 use crate::time::{Span, Time};
 use std::collections::HashMap;
+use std::sync::Arc;
 
+/// For how long the order of the line is kept.
+const LINE_AGE: Span = Span::millis(200);
 /// How long a machine on which a job's task failed gets no other task of that job.
 const AVOID: Span = Span::millis(90_000);
 
@@ -81,8 +84,24 @@
         limits.cpus_max.is_none_or(|most| after.cpus <= most) && limits.gpus_max.is_none_or(|most| after.gpus <= most)
     }
 
-    /// The jobs with something to start, from the queue's front.
-    pub fn queue(&self, market: &Market) -> Vec<(bool, JobId)> {
+    /// The jobs with something to start, from the queue's front. The order is kept for a moment,
+    /// so that a report does not cost a look at every job; a job that is new in it makes it anew.
+    pub fn queue(&mut self, market: &Market) -> Arc<[(bool, JobId)]> {
+        if self.line.made.is_none_or(|made| market.now.since(made) >= LINE_AGE) {
+            self.step(self.jobs.len());
+            let jobs = self.in_order(market);
+            let needs = jobs.iter().filter_map(|(_, id)| self.jobs.get(id)).map(|job| job.spec.needs);
+            let least = needs.reduce(|least, needs| Resources {
+                cpus: least.cpus.min(needs.cpus),
+                gpus: least.gpus.min(needs.gpus),
+                memory: least.memory.min(needs.memory),
+            });
+            self.line = Line { jobs: jobs.into(), least: least.unwrap_or_default(), made: Some(market.now) };
+        }
+        self.line.jobs.clone()
+    }
+
+    fn in_order(&self, market: &Market) -> Vec<(bool, JobId)> {
         let mut usage: HashMap<&Name, Resources> = HashMap::new();
         let mut line: Vec<_> = self
             .jobs
@@ -137,6 +156,7 @@
         if !unhurried && (!place.0 || fetch < market.cfg.report) {
             return false;
         }
+        self.step(self.machines.len());
         self.machines.iter().any(|(id, other)| {
             other.may_bind(now)
                 && now.since(other.seen) < wait
@@ -155,7 +175,21 @@
     pub fn preempt(&mut self, market: &Market) -> Vec<(MachineId, Vec<AttemptNo>)> {
         let now = market.now;
         let mut picked: Vec<(MachineId, Vec<AttemptNo>)> = Vec::new();
-        let queue = self.queue(market);
+        // Only what is more urgent than something that runs can make anything give way.
+        let running = self.jobs.values().filter(|job| !job.running.is_empty()).map(|job| job.spec.priority);
+        let Some(least_urgent) = running.max() else { return picked };
+        let queue: Vec<JobId> = self
+            .queue(market)
+            .iter()
+            .filter(|(_, id)| {
+                let job = self.jobs.get(id).filter(|job| job.next_task(now).is_some());
+                job.is_some_and(|job| job.spec.priority < least_urgent)
+            })
+            .map(|(_, id)| id.clone())
+            .collect();
+        if queue.is_empty() {
+            return picked;
+        }
         // Room that is there or being made, which earlier jobs in the line use up first.
         let mut rooms: Vec<(MachineId, Resources)> = Vec::new();
         for (id, machine) in self.machines.iter().filter(|(_, machine)| machine.may_bind(now)) {
@@ -163,7 +197,7 @@
                 rooms.push((id.clone(), kind.room.minus(&machine.staying())));
             }
         }
-        for (_, job_id) in queue {
+        for job_id in queue {
             let Some(job) = self.jobs.get(&job_id) else { continue };
             let usage = self.team_usage(&job.spec.team, market.types);
             if !self.quota_allows(job, &usage, market.cfg) {
@@ -256,8 +290,13 @@
         }
         let (zone, spot, sent_in) = (machine.zone.clone(), machine.spot, machine.last);
         let mut passed_over: Vec<JobId> = Vec::new();
-        for (_, job_id) in self.queue(market) {
-            while let Some(job) = self.jobs.get(&job_id) {
+        let queue = self.queue(market);
+        for (_, job_id) in queue.iter() {
+            if commands.len() >= most || !self.line.least.fits_in(&room) {
+                break;
+            }
+            self.step(1);
+            while let Some(job) = self.jobs.get(job_id) {
                 let Some(task) = job.next_task(now).filter(|_| commands.len() < most) else { break };
                 if !job.spec.allows(&kind.name, &zone, spot) || job.avoids(id, now) {
                     break;
@@ -299,7 +338,7 @@
                 if let Some(machine) = self.machines.get_mut(id) {
                     machine.note_image(&image, image_gb, kind.cache_gb);
                 }
-                if let Some(job) = self.jobs.get_mut(&job_id) {
+                if let Some(job) = self.jobs.get_mut(job_id) {
                     job.skipped_since = None;
                 }
                 for earlier in passed_over.drain(..) {
--- a/src/coordination/ledger.rs
+++ b/src/coordination/ledger.rs
@@ -19,10 +19,11 @@
     pub(super) fn finish_jobs(&mut self, shard_id: ShardId) {
         let Some(shard) = self.shards.get_mut(&shard_id) else { return };
         let mut ready = Vec::new();
-        for job in shard.jobs.values_mut() {
-            if job.spec.kind == JobKind::Array && job.ending.is_none() && job.done.len() == job.spec.tasks {
+        for id in std::mem::take(&mut shard.finished) {
+            let Some(job) = shard.jobs.get_mut(&id) else { continue };
+            if job.ending.is_none() {
                 job.ending = Some(Final::Done);
-                ready.push(job.spec.id.clone());
+                ready.push(id);
             }
         }
         for id in ready {
@@ -160,7 +161,10 @@
                 job.version = version;
                 job.written = all;
                 job.recorded = done;
-                job.untouched = untouched;
+                if untouched > job.untouched {
+                    job.untouched = untouched;
+                    shard.line.made = None;
+                }
             }
             (JobWrite::End(state), Ok(StateAnswer::Committed(_))) => {
                 return self.job_ended(shard_id, &id, state);
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -353,6 +353,12 @@
         std::mem::take(&mut self.out)
     }
 
+    /// How many jobs and machines were looked at on the path of reports so far: what they cost,
+    /// whatever the clock says.
+    pub fn steps(&self) -> u64 {
+        self.shards.values().map(|shard| shard.steps.get()).sum()
+    }
+
     /// Whether what this node was given by the state service surely still stands.
     fn entitled(&self) -> bool {
         self.hold.as_ref().is_some_and(|hold| self.now < hold.right_until)
--- a/src/coordination/shard.rs
+++ b/src/coordination/shard.rs
@@ -7,8 +7,10 @@
 use crate::protocol::peers::Offer;
 use crate::protocol::workers::{Exit, Report, TaskState};
 use crate::time::{Span, Time};
+use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::SocketAddrV4;
+use std::sync::Arc;
 
 pub(super) struct Job {
     pub spec: JobSpec,
@@ -49,6 +51,11 @@
 }
 
 impl Job {
+    /// An array all of whose tasks have completed.
+    pub fn is_complete(&self) -> bool {
+        self.spec.kind == JobKind::Array && self.done.len() == self.spec.tasks
+    }
+
     pub fn is_live(&self) -> bool {
         self.ending.is_none() && !self.unsure
     }
@@ -75,6 +82,9 @@
     }
 }
 
+/// More than any machine has, yet little enough to add up many times.
+const EVERYTHING: Amount = Amount(u64::MAX >> 24);
+
 /// How far ahead of the tasks started the record allows starts.
 pub(super) const LOOKAHEAD: u32 = 256;
 
@@ -195,6 +205,13 @@
     pub booting: BTreeMap<MachineId, Booting>,
     /// Rentals on the way, by request name.
     pub renting: BTreeMap<String, super::fleet::Rental>,
+    /// No machine is unproven and no inherited task is left to be found.
+    pub settled: bool,
+    /// Arrays whose last task has completed and whose end is not being recorded yet.
+    pub finished: Vec<JobId>,
+    pub line: Line,
+    /// How many jobs and machines were looked at on the path of reports: what a report costs.
+    pub steps: Cell<u64>,
     /// Reports that came while it was loading.
     pub early: Vec<(AskId, Box<Report>)>,
     pub usage: HashMap<Name, Resources>,
@@ -208,6 +225,15 @@
     pub leftovers: Vec<(MachineId, Revision)>,
 }
 
+/// The queue as it was last put in order: making it anew takes a look at every job.
+#[derive(Default)]
+pub(super) struct Line {
+    pub jobs: Arc<[(bool, JobId)]>,
+    /// The least that any of them needs.
+    pub least: Resources,
+    pub made: Option<Time>,
+}
+
 /// What became of an attempt that is over.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub(super) enum Outcome {
@@ -228,6 +254,10 @@
             machines: BTreeMap::new(),
             booting: BTreeMap::new(),
             renting: BTreeMap::new(),
+            settled: false,
+            finished: Vec::new(),
+            line: Line::default(),
+            steps: Cell::new(0),
             early: Vec::new(),
             usage: HashMap::new(),
             taking: BTreeMap::new(),
@@ -317,14 +347,25 @@
             waiting_since: self.claimed_at,
             ran: (0.0, 0),
         };
+        if job.is_complete() {
+            self.finished.push(id.clone());
+        }
+        self.settled &= job.unlocated.is_empty();
+        self.line.made = None;
         self.jobs.insert(id, job);
     }
 
+    /// Notes that something was looked at on the path of a report.
+    pub fn step(&self, count: usize) {
+        self.steps.set(self.steps.get() + count as u64);
+    }
+
     pub fn load_machine(&mut self, id: MachineId, record: &MachineRecord, version: Revision, proof_by: Time) {
         let Ok(addr) = record.addr.parse() else { return };
         let now = self.claimed_at;
         let mut machine = Machine::new(record, addr, version, self.claim, now);
         machine.proof_by = proof_by;
+        self.settled = false;
         self.machines.insert(id, machine);
     }
 
@@ -346,9 +387,15 @@
     /// Once no machine is left on which a former holder's attempt could be running, the tasks
     /// that were not found anywhere may be started.
     pub fn settle_unlocated(&mut self) {
+        if self.settled {
+            return;
+        }
+        self.step(self.machines.len());
         if self.machines.values().any(|machine| !machine.proven) {
             return;
         }
+        self.settled = true;
+        self.line.made = None;
         for job in self.jobs.values_mut() {
             let found = std::mem::take(&mut job.unlocated);
             for task in found.iter() {
@@ -364,6 +411,11 @@
         // only of jobs that are still live: those of a job that was cancelled just before the
         // takeover run until they are told to stop. The same goes for a machine with an attempt
         // whose job has ended, since its team is not known any more.
+        let strangers = self.usage.get(&Name::new("")).is_some_and(|usage| usage.cpus > Amount(0));
+        if self.settled && !strangers {
+            return located;
+        }
+        self.step(self.machines.len());
         let dark = |machine: &&Machine| {
             !machine.proven
                 || machine.attempts.values().any(|attempt| !attempt.is_over() && attempt.team.as_str().is_empty())
@@ -426,21 +478,21 @@
         if job.running.get(&task.task.0).is_none_or(|(_, current)| *current != no) {
             // Not the task's present attempt, but completed is completed.
             if outcome == Outcome::Exited(Exit::Done) && job.spec.kind == JobKind::Array {
-                Shard::complete(job, task.task.0);
+                self.complete(&task);
             }
             return;
         }
         job.running.remove(&task.task.0);
         if outcome == Outcome::Exited(Exit::Done) {
-            Shard::complete(job, task.task.0);
             if let Some(seconds) = ran {
                 job.ran = (job.ran.0 + seconds, job.ran.1 + 1);
             }
             job.failures = 0;
-            return;
+            return self.complete(&task);
         }
         if job.pending.is_empty() {
             job.waiting_since = now;
+            self.line.made = None;
         }
         job.pending.insert(task.task.0);
         if matches!(outcome, Outcome::Exited(Exit::Error | Exit::Unknown)) {
@@ -459,10 +511,14 @@
         }
     }
 
-    fn complete(job: &mut Job, task: u32) {
-        job.done.insert(task);
-        job.pending.remove(task);
-        job.unlocated.remove(task);
+    fn complete(&mut self, task: &TaskId) {
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        job.done.insert(task.task.0);
+        job.pending.remove(task.task.0);
+        job.unlocated.remove(task.task.0);
+        if job.is_complete() {
+            self.finished.push(task.job.clone());
+        }
     }
 
     /// Takes away what is known to be gone from a machine.
@@ -522,7 +578,7 @@
         let (team, needs) = match job {
             Some(job) => (job.spec.team.clone(), job.spec.needs),
             // Nothing is known of what it takes, so the machine counts as full until it is gone.
-            None => (Name::new(""), Resources { cpus: Amount(u64::MAX / 4), ..Resources::default() }),
+            None => (Name::new(""), Resources { cpus: EVERYTHING, ..Resources::default() }),
         };
         let attempt = Attempt {
             task: told.task.clone(),
