--- a/src/coordination/binding.rs
+++ b/src/coordination/binding.rs
@@ -107,15 +107,19 @@
             .jobs
             .values()
             .filter(|job| job.next_task(market.now).is_some())
-            .map(|job| {
+            .filter_map(|job| {
                 let used = usage.entry(&job.spec.team).or_insert_with(|| self.team_usage(&job.spec.team, market.types));
+                // Whose team is at its limit, there is no need to ask each machine about.
+                if !self.quota_allows(job, used, market.cfg) {
+                    return None;
+                }
                 let within = market.cfg.teams.get(&job.spec.team).is_some_and(|limits| {
                     let after = used.plus(&job.spec.needs);
                     after.cpus <= limits.cpus && after.gpus <= limits.gpus.max(Amount(0))
                 });
                 // What can still be in time goes before what can't, the most pressing first.
                 let left = job.left_ms(market.cfg, market.day_ms);
-                (job.spec.priority, !within, left, &job.order)
+                Some((job.spec.priority, !within, left, &job.order))
             })
             .collect();
         line.sort();
