--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -353,6 +353,12 @@
         std::mem::take(&mut self.out)
     }
 
+    /// With one shard for all teams, where jobs and machines are needs no record: its holder knows,
+    /// or reads the records itself, and this node's reads are kept for when it must.
+    fn only_shard(&self) -> Option<ShardId> {
+        (self.cfg.team_shards() == 1).then_some(ShardId(0))
+    }
+
     /// How many jobs and machines were looked at on the path of reports so far: what they cost,
     /// whatever the clock says.
     pub fn steps(&self) -> u64 {
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -132,11 +132,9 @@
         }
     }
 
-    /// Where a job should be, if anywhere. With one shard for all teams that needs no record: its
-    /// holder knows, or reads the records itself, and this node's reads are kept for when it must.
+    /// Where a job should be, if anywhere.
     fn home_of_job(&self, job: &JobId) -> Option<ShardId> {
-        let only = (self.cfg.team_shards() == 1).then_some(ShardId(0));
-        self.job_homes.get(job).copied().or(only)
+        self.job_homes.get(job).copied().or(self.only_shard())
     }
 
     /// Lets the shard's holder answer.
--- a/src/coordination/workers.rs
+++ b/src/coordination/workers.rs
@@ -17,7 +17,7 @@
         if let Some(shard) = held {
             return self.serve_report(ask, shard, report);
         }
-        let known = self.machine_homes.get(&id).copied();
+        let known = self.machine_homes.get(&id).copied().or(self.only_shard());
         let booting = self.shards.values().find(|shard| shard.booting.contains_key(&id)).map(|s| s.id);
         let shard = match (booting, known) {
             (Some(shard), _) | (None, Some(shard)) => shard,
