--- a/src/config.rs
+++ b/src/config.rs
@@ -178,7 +178,7 @@
         Properties {
             claim_life: lease.times(0.4),
             claim_watch: Span::millis(400),
-            give_back: Span::millis(25_000),
+            give_back: Span::millis(15_000),
             headroom: 1.25,
             skip_limit: Span::millis(60_000),
             round: Span::millis(1000),
