Pass workers' reports on when they do not reach the shard's holder

A worker that shows a token of the present claim has been with the holder: its reports are now passed on to it. A holder that hears neither workers nor controllers lets go and stays away for a doubling pause. Machines are only given back as silent if others are heard at the same time, not before it.

Ruled out: a handover, which costs a change of hands both ways, and is too late where packets are held (a worker waits 4 s for an answer, twice, against a lease of 10 s).

--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -265,16 +265,26 @@
     /// Gives back machines that do not answer while tasks wait for what may be on them. A silent
     /// machine loses its tasks anyway when its lease runs out, but that may lie far ahead, most of
     /// all after a takeover; once the cloud has deleted it, its tasks may start elsewhere at once.
-    /// Where most machines are silent the fault is rather on this side, and nothing is given back.
+    /// Where most machines are silent, or come by way of other nodes, the fault is rather on this side
+    /// and nothing is given back.
     fn return_silent(&mut self, id: ShardId) {
         let now = self.now;
         let patience = (self.cfg.lease.times(0.5)).max(self.cfg.report.times(3.0));
+        let lease = self.cfg.lease;
         let Some(shard) = self.shards.get_mut(&id) else { return };
+        // One that reaches this node has reported within that time. What was heard longer ago says
+        // nothing about the moment: when a cut begins, all machines fall silent one after another.
+        // After a takeover workers take longer to find this node.
+        let settled = now.since(shard.claimed_at) >= lease;
+        let recent = if settled { self.cfg.report.times(1.25) + Span::millis(1000) } else { patience };
         let (mut heard, mut silent) = (0, Vec::new());
         for (name, machine) in &shard.machines {
             let quiet = now.since(machine.seen);
-            if machine.proven && quiet < patience {
+            let detoured = machine.detoured.is_some_and(|at| now.since(at) < patience);
+            if machine.proven && quiet < recent && !detoured {
                 heard += 1;
+            } else if machine.proven && quiet < recent && !detoured {
+                continue;
             } else if !machine.deleting
                 && match machine.proven {
                     true => machine.unanswered > 0 && !machine.is_empty(),
--- a/src/coordination/members.rs
+++ b/src/coordination/members.rs
@@ -107,7 +107,7 @@
         if let Some(shard) = self.shards.remove(&id) {
             log::warn!("shard {id} (claim {}) let go: {why}", shard.claim);
             for (ask, _) in shard.early {
-                self.reply(Asker::Local(ask), Reply::busy("changing hands"));
+                self.reply(ask, Reply::busy("changing hands"));
             }
         }
     }
@@ -142,8 +142,7 @@
         if entry.version < view.claim {
             return;
         }
-        view.absent_since = None;
-        view.claim = entry.version;
+        view.seen(entry.version, self.now);
         view.holder = Some(record.node.clone());
         let mine = record.node == self.cfg.label && record.life == self.life;
         match self.shards.get(&id).map(|shard| shard.claim) {
@@ -157,7 +156,7 @@
         }
     }
 
-    fn claiming(&self, id: ShardId) -> bool {
+    pub(super) fn claiming(&self, id: ShardId) -> bool {
         self.state_work.values().any(|work| match work {
             StateWork::Claim { shard, .. } | StateWork::Release { shard, .. } => *shard == id,
             _ => false,
@@ -199,7 +198,7 @@
 
     /// Claims a shard whose key has the given version.
     fn claim(&mut self, id: ShardId, version: Revision) {
-        if !self.entitled() {
+        if !self.entitled() || self.reluctant() {
             return;
         }
         let Some(hold) = self.hold.as_ref().map(|hold| hold.id) else { return };
@@ -226,8 +225,7 @@
         log::info!("shard {id} claimed at revision {claim}");
         let view = &mut self.views[id.0 as usize];
         view.holder = Some(self.cfg.label.clone());
-        view.claim = view.claim.max(claim);
-        view.absent_since = None;
+        view.seen(claim, self.now);
         self.shards.insert(id, Shard::new(id, claim, self.now));
         self.load_jobs(id, claim, None);
     }
@@ -340,15 +338,15 @@
         for &(shard, claim) in &held {
             let Some(view) = self.views.get_mut(shard.0 as usize) else { continue };
             if claim > view.claim {
-                view.claim = claim;
+                view.seen(claim, now);
                 view.holder = Some(from.clone());
-                view.absent_since = None;
                 // The other's claim can only have succeeded after ours had ended.
                 if self.shards.get(&shard).is_some_and(|mine| mine.claim < claim) {
                     self.drop_shard(shard, "another node has a newer claim");
                 }
             }
         }
+        self.reluctance = None;
         let since = match self.peers.get(&from) {
             Some(peer) if ready && now.since(peer.seen) < SILENT => peer.ready_since.or(Some(now)),
             _ => ready.then_some(now),
@@ -369,22 +367,28 @@
         let active = self.shards.values().filter(|shard| shard.active);
         let lightest =
             active.min_by_key(|shard| (shard.jobs.len() + shard.machines.len(), self.home_of(shard.id) != node));
-        let Some((id, claim)) = lightest.map(|shard| (shard.id, shard.claim)) else { return };
+        let Some(id) = lightest.map(|shard| shard.id) else { return };
         let busy = |work: &StateWork| matches!(work, StateWork::Claim { .. } | StateWork::Release { .. });
         if self.state_work.values().any(busy) {
             return;
         }
         log::info!("shard {id} goes to {node}");
+        self.release(id, Some(node.clone()));
+    }
+
+    /// Gives a shard up to the node named, or to whoever takes it.
+    pub(super) fn release(&mut self, id: ShardId, to: Option<NodeLabel>) {
+        let Some(claim) = self.shards.get(&id).map(|shard| shard.claim) else { return };
         let key = records::shard_key(id);
         let request = StateCall::Commit { conditions: vec![(key.clone(), claim)], changes: vec![Change::Delete(key)] };
-        self.call_state(request, StateWork::Release { shard: id, claim, to: node.clone() });
+        self.call_state(request, StateWork::Release { shard: id, claim, to });
     }
 
     pub(super) fn released(
         &mut self,
         id: ShardId,
         claim: Revision,
-        to: NodeLabel,
+        to: Option<NodeLabel>,
         answer: Result<StateAnswer, CallError>,
     ) {
         if self.shard_under(id, claim).is_none() {
@@ -395,11 +399,13 @@
             // at once. If it was not executed, the key is seen as our own and claimed back by
             // loading anew.
             Ok(StateAnswer::Committed(_)) | Err(CallError::NoAnswer) | Ok(StateAnswer::Conflict(_)) => {
-                self.drop_shard(id, "handed back");
+                self.drop_shard(id, if to.is_some() { "handed back" } else { "nobody is reached from here" });
                 let view = &mut self.views[id.0 as usize];
                 view.holder = None;
                 view.released = Some(self.now);
-                self.out.push(Action::Send { to, message: PeerMessage::Released { shard: id } });
+                if let Some(to) = to {
+                    self.out.push(Action::Send { to, message: PeerMessage::Released { shard: id } });
+                }
             }
             _ => {}
         }
@@ -412,6 +418,17 @@
     }
 }
 
+impl ShardView {
+    /// The shard is held by this claim, or by a newer one known before.
+    fn seen(&mut self, claim: Revision, now: Time) {
+        self.absent_since = None;
+        if claim > self.claim {
+            self.claim = claim;
+            self.claim_seen = now;
+        }
+    }
+}
+
 pub(super) fn to_value(record: &impl serde::Serialize) -> serde_json::Value {
     // Records have text keys and finite numbers only, so this cannot fail.
     serde_json::to_value(record).unwrap_or_default()
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -3,6 +3,7 @@
 //! the same code in simulated time.
 
 mod binding;
+mod detours;
 mod fleet;
 mod ledger;
 mod members;
@@ -17,7 +18,7 @@
 use crate::protocol::peers::{Envelope, PeerAsk, PeerMessage};
 use crate::protocol::state::{StateAnswer, StateCall};
 use crate::protocol::users::Ask;
-use crate::protocol::workers::{WorkerAnswer, WorkerCall};
+use crate::protocol::workers::{self as worker_protocol, WorkerAnswer, WorkerCall};
 use crate::protocol::{CallError, Reply};
 use crate::time::{Span, Time};
 use shard::Shard;
@@ -94,6 +95,8 @@
 struct ShardView {
     holder: Option<NodeLabel>,
     claim: Revision,
+    /// When this node first saw that claim.
+    claim_seen: Time,
     absent_since: Option<Time>,
     /// When this node released it to another.
     released: Option<Time>,
@@ -124,7 +127,8 @@
     Release {
         shard: ShardId,
         claim: Revision,
-        to: NodeLabel,
+        /// Nobody in particular, if it can't be served here.
+        to: Option<NodeLabel>,
     },
     LoadJobs {
         shard: ShardId,
@@ -157,13 +161,13 @@
         work: ledger::JobWrite,
     },
     FindMachine {
-        ask: AskId,
+        ask: Asker,
         report: Box<crate::protocol::workers::Report>,
     },
     Adopt {
         shard: ShardId,
         claim: Revision,
-        ask: AskId,
+        ask: Asker,
         report: Box<crate::protocol::workers::Report>,
     },
     Forget {
@@ -197,9 +201,15 @@
 struct Forwarded {
     ask: AskId,
     until: Time,
-    job: JobId,
-    /// A submission: if the other node can't take it, this one may be able to.
-    spec: Option<Box<JobSpec>>,
+    what: Passed,
+}
+
+/// What was passed on, as far as it still matters when the answer comes, or none does.
+enum Passed {
+    /// If the other node can't take it, this one may be able to.
+    Submission(Box<JobSpec>),
+    Question(JobId),
+    Report,
 }
 
 /// One controller.
@@ -236,6 +246,8 @@
     ended: Ended,
     job_homes: HashMap<JobId, ShardId>,
     machine_homes: HashMap<MachineId, ShardId>,
+    detours: HashMap<MachineId, detours::Detour>,
+    reluctance: Option<detours::Reluctance>,
 
     requests: Budget,
     writes: Budget,
@@ -304,6 +316,8 @@
             ended: Ended { jobs: HashMap::new(), order: VecDeque::new(), most: cfg.own.ended_kept },
             job_homes: HashMap::new(),
             machine_homes: HashMap::new(),
+            detours: HashMap::new(),
+            reluctance: None,
             requests,
             writes,
             cloud: fleet::Cloud::new(&cfg),
@@ -432,7 +446,7 @@
                 };
                 self.reply(Asker::Local(id), reply);
             }
-            Ask::Report(report) => self.reported(id, report),
+            Ask::Report(report) => self.reported(Asker::Local(id), report),
             Ask::Submit(Ok(spec)) => self.submit(Asker::Local(id), spec),
             Ask::Submit(Err(bad)) => self.refuse(Asker::Local(id), bad),
             Ask::Poll(job) => self.poll(Asker::Local(id), job),
@@ -494,7 +508,9 @@
             PeerMessage::Moved { machine, shard } => self.machine_moved_in(machine, shard),
             PeerMessage::Ask { number, shard, ask } => {
                 let asker = Asker::Peer { node: from, number };
-                if !self.shards.get(&shard).is_some_and(|shard| shard.active) || !self.entitled() {
+                // A report is answered for longer than the right lasts, see `may_renew`.
+                let renews = matches!(ask, PeerAsk::Report(_)) && self.shards.contains_key(&shard);
+                if !renews && !self.shards.get(&shard).is_some_and(|shard| shard.active) || !self.entitled() {
                     self.reply(asker, Reply::busy("not held here"));
                     return;
                 }
@@ -502,16 +518,19 @@
                     PeerAsk::Submit(spec) => self.submit_here(asker, shard, *spec),
                     PeerAsk::Poll(job) => self.poll_here(asker, shard, job),
                     PeerAsk::Cancel(job) => self.cancel_here(asker, shard, job),
+                    PeerAsk::Report(report) => self.reported(asker, report),
                 }
             }
             PeerMessage::Answer { number, reply } => {
                 if let Some(forwarded) = self.forwarded.remove(&number) {
-                    if reply.status == 404 {
-                        self.job_homes.remove(&forwarded.job);
-                    }
-                    match forwarded.spec {
-                        Some(spec) if reply.status == 503 => self.submit_from_afar(Asker::Local(forwarded.ask), *spec),
-                        _ => self.reply(Asker::Local(forwarded.ask), reply),
+                    let asker = Asker::Local(forwarded.ask);
+                    match forwarded.what {
+                        Passed::Submission(spec) if reply.status == 503 => self.submit_from_afar(asker, *spec),
+                        Passed::Question(job) if reply.status == 404 => {
+                            self.job_homes.remove(&job);
+                            self.reply(asker, reply);
+                        }
+                        _ => self.reply(asker, reply),
                     }
                 }
             }
@@ -525,9 +544,11 @@
         let late: Vec<u64> = self.forwarded.iter().filter(|(_, f)| f.until <= now).map(|(number, _)| *number).collect();
         for number in late {
             let Some(forwarded) = self.forwarded.remove(&number) else { continue };
-            match forwarded.spec {
-                Some(spec) => self.submit_from_afar(Asker::Local(forwarded.ask), *spec),
-                None => self.reply(Asker::Local(forwarded.ask), Reply::busy("the job's node does not answer")),
+            let asker = Asker::Local(forwarded.ask);
+            match forwarded.what {
+                Passed::Submission(spec) => self.submit_from_afar(asker, *spec),
+                Passed::Question(_) => self.reply(asker, Reply::busy("the job's node does not answer")),
+                Passed::Report => self.reply(asker, worker_protocol::elsewhere(None)),
             }
         }
         if self.job_homes.len() > MOST_HOMES {
@@ -536,6 +557,7 @@
         if self.machine_homes.len() > MOST_HOMES {
             self.machine_homes.clear();
         }
+        self.detours_tick();
         self.workers_tick();
         self.ledger_tick();
         self.fleet_tick();
--- a/src/coordination/shard.rs
+++ b/src/coordination/shard.rs
@@ -1,6 +1,6 @@
 //! One shard in memory: its jobs, its machines, and what is running where.
 
-use super::AskId;
+use super::Asker;
 use crate::bookkeeping::ranges::RangeSet;
 use crate::bookkeeping::records::{LiveRecord, MachineRecord};
 use crate::model::*;
@@ -140,6 +140,8 @@
     /// Images it is thought to have, newest last.
     pub images: Vec<(Name, f64)>,
     pub probing: bool,
+    /// When a report of it last came by way of another node.
+    pub detoured: Option<Time>,
     /// Direct questions it has left unanswered since it was last heard.
     pub unanswered: u32,
     /// The cloud has listed it, so it can be given back.
@@ -213,7 +215,7 @@
     /// How many jobs and machines were looked at on the path of reports: what a report costs.
     pub steps: Cell<u64>,
     /// Reports that came while it was loading.
-    pub early: Vec<(AskId, Box<Report>)>,
+    pub early: Vec<(Asker, Box<Report>)>,
     pub usage: HashMap<Name, Resources>,
     /// Offered machines of other shards that were asked for lately.
     pub taking: BTreeMap<MachineId, (Offer, Time)>,
@@ -631,6 +633,7 @@
             distrusted_until: Time::ZERO,
             images: Vec::new(),
             probing: false,
+            detoured: None,
             unanswered: 0,
             listed: false,
         }
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -122,7 +122,7 @@
             };
         }
         match then {
-            Then::Cancel => self.pass_on(asker, shard_id, id.clone(), PeerAsk::Cancel(id)),
+            Then::Cancel => self.pass_on(asker, shard_id, PeerAsk::Cancel(id)),
             _ => {
                 let done = crate::bookkeeping::ranges::RangeSet::parse(&record.done, record.job.tasks);
                 let done = done.map_or(0, |done| done.len());
@@ -138,7 +138,7 @@
     }
 
     /// Lets the shard's holder answer.
-    fn pass_on(&mut self, asker: Asker, shard: ShardId, job: JobId, ask: PeerAsk) {
+    pub(super) fn pass_on(&mut self, asker: Asker, shard: ShardId, ask: PeerAsk) {
         let Asker::Local(id) = asker else {
             return self.reply(asker, Reply::busy("not held here"));
         };
@@ -146,22 +146,24 @@
             Some(to) => {
                 self.next_call += 1;
                 let number = self.next_call;
-                let (spec, timeout) = match &ask {
-                    PeerAsk::Submit(spec) => (Some(spec.clone()), SUBMIT_TIMEOUT),
-                    _ => (None, FORWARD_TIMEOUT),
+                let (what, timeout) = match &ask {
+                    PeerAsk::Submit(spec) => (Passed::Submission(spec.clone()), SUBMIT_TIMEOUT),
+                    PeerAsk::Poll(job) | PeerAsk::Cancel(job) => (Passed::Question(job.clone()), FORWARD_TIMEOUT),
+                    PeerAsk::Report(_) => (Passed::Report, FORWARD_TIMEOUT),
                 };
-                self.forwarded.insert(number, Forwarded { ask: id, until: self.now + timeout, job, spec });
+                self.forwarded.insert(number, Forwarded { ask: id, until: self.now + timeout, what });
                 self.out.push(Action::Send { to, message: PeerMessage::Ask { number, shard, ask } });
             }
             None => match ask {
                 PeerAsk::Submit(spec) => self.submit_from_afar(asker, *spec),
+                PeerAsk::Report(_) => self.reply(asker, worker_protocol::elsewhere(None)),
                 _ => self.reply(asker, Reply::busy("its shard is changing hands")),
             },
         }
     }
 
     /// The other node that holds a shard, if it was heard of lately.
-    fn live_holder(&self, shard: ShardId) -> Option<NodeLabel> {
+    pub(super) fn live_holder(&self, shard: ShardId) -> Option<NodeLabel> {
         let holder = self.holder_of(shard)?;
         let peer = self.peers.get(holder)?;
         (self.now.since(peer.seen) < Span::millis(1500)).then(|| holder.clone())
@@ -176,7 +178,7 @@
         }
         match self.home_of_job(&job) {
             Some(shard) if !self.shards.contains_key(&shard) && self.live_holder(shard).is_some() => {
-                self.pass_on(asker, shard, job.clone(), PeerAsk::Poll(job))
+                self.pass_on(asker, shard, PeerAsk::Poll(job))
             }
             _ => self.look_up(asker, job, Then::Poll),
         }
@@ -203,9 +205,7 @@
             return self.cancel_here(asker, shard, job);
         }
         match self.job_homes.get(&job).copied() {
-            Some(shard) if !self.shards.contains_key(&shard) => {
-                self.pass_on(asker, shard, job.clone(), PeerAsk::Cancel(job))
-            }
+            Some(shard) if !self.shards.contains_key(&shard) => self.pass_on(asker, shard, PeerAsk::Cancel(job)),
             _ => self.look_up(asker, job, Then::Cancel),
         }
     }
@@ -268,8 +268,8 @@
             }
             Some(shard) if self.shards.contains_key(&shard) => self.submit_from_afar(asker, spec),
             Some(shard) => {
-                self.job_homes.insert(id.clone(), shard);
-                self.pass_on(asker, shard, id, PeerAsk::Submit(Box::new(spec)))
+                self.job_homes.insert(id, shard);
+                self.pass_on(asker, shard, PeerAsk::Submit(Box::new(spec)))
             }
             None => self.reply(asker, Reply::busy("no shard to put it in")),
         }
--- a/src/coordination/workers.rs
+++ b/src/coordination/workers.rs
@@ -11,8 +11,11 @@
 const EARLY_WAIT: Span = Span::millis(2000);
 
 impl Controller {
-    pub(super) fn reported(&mut self, ask: AskId, report: Box<Report>) {
+    pub(super) fn reported(&mut self, ask: Asker, report: Box<Report>) {
         let id = report.machine.clone();
+        if matches!(ask, Asker::Local(_)) {
+            self.reluctance = None;
+        }
         let held = self.shards.values().find(|shard| shard.machines.contains_key(&id)).map(|s| s.id);
         if let Some(shard) = held {
             return self.serve_report(ask, shard, report);
@@ -24,7 +27,7 @@
             (None, None) => {
                 // Perhaps recorded by another node; the state service knows.
                 if !self.requests.take(self.now, 0.0) {
-                    return self.reply(Asker::Local(ask), Reply::busy("busy"));
+                    return self.reply(ask, Reply::busy("busy"));
                 }
                 let request = StateCall::Get(records::machine_key(&id));
                 return self.call_state(request, StateWork::FindMachine { ask, report });
@@ -33,26 +36,20 @@
         match self.shards.get_mut(&shard) {
             Some(mine) if !mine.active => mine.early.push((ask, report)),
             Some(_) => self.adopt(ask, shard, report),
-            None => self.send_elsewhere(ask, shard),
+            None => self.send_elsewhere(ask, shard, report),
         }
     }
 
-    fn send_elsewhere(&mut self, ask: AskId, shard: ShardId) {
-        let node = self.holder_of(shard).filter(|node| **node != self.cfg.label);
-        let reply = workers::elsewhere(node.map(|node| node.as_str()));
-        self.reply(Asker::Local(ask), reply);
-    }
-
-    pub(super) fn machine_found(&mut self, ask: AskId, report: Box<Report>, answer: Result<StateAnswer, CallError>) {
+    pub(super) fn machine_found(&mut self, ask: Asker, report: Box<Report>, answer: Result<StateAnswer, CallError>) {
         let shard = match answer {
             Ok(StateAnswer::Found(entry)) => match serde_json::from_value::<MachineRecord>(entry.value) {
                 Ok(record) => record.shard,
-                Err(_) => return self.reply(Asker::Local(ask), Reply::busy("its record can't be read")),
+                Err(_) => return self.reply(ask, Reply::busy("its record can't be read")),
             },
             // Rented by nobody who is left, or one of the operators' own: all nodes agree by its
             // number where it belongs.
             Ok(StateAnswer::Missing) => self.default_shard(&report.machine),
-            _ => return self.reply(Asker::Local(ask), Reply::busy("state not reachable")),
+            _ => return self.reply(ask, Reply::busy("state not reachable")),
         };
         self.machine_homes.entry(report.machine.clone()).or_insert(shard);
         let held = self.shards.get(&shard).is_some_and(|s| s.machines.contains_key(&report.machine));
@@ -60,7 +57,7 @@
             // Recorded as this shard's, but its holder did not load it: it came by a move.
             Some(mine) if mine.active && !held => self.adopt(ask, shard, report),
             Some(_) => self.reported(ask, report),
-            None => self.send_elsewhere(ask, shard),
+            None => self.send_elsewhere(ask, shard, report),
         }
     }
 
@@ -73,17 +70,17 @@
     }
 
     /// Records a machine as this shard's. Only then may its reports be answered with 200.
-    fn adopt(&mut self, ask: AskId, shard: ShardId, report: Box<Report>) {
+    fn adopt(&mut self, ask: Asker, shard: ShardId, report: Box<Report>) {
         let under_way = self
             .state_work
             .values()
             .any(|work| matches!(work, StateWork::Adopt { report: other, .. } if other.machine == report.machine));
         let claim = match self.shards.get(&shard) {
             Some(shard) if !under_way => shard.claim,
-            _ => return self.reply(Asker::Local(ask), Reply::busy("being recorded")),
+            _ => return self.reply(ask, Reply::busy("being recorded")),
         };
         if !self.entitled() {
-            return self.reply(Asker::Local(ask), Reply::busy("no right to"));
+            return self.reply(ask, Reply::busy("no right to"));
         }
         let record = record_of(&report, shard);
         let key = records::machine_key(&report.machine);
@@ -98,13 +95,13 @@
         &mut self,
         shard: ShardId,
         claim: Revision,
-        ask: AskId,
+        ask: Asker,
         report: Box<Report>,
         answer: Result<StateAnswer, CallError>,
     ) {
         let now = self.now;
         let Some(mine) = self.shard_under(shard, claim) else {
-            return self.reply(Asker::Local(ask), Reply::busy("changing hands"));
+            return self.reply(ask, Reply::busy("changing hands"));
         };
         match answer {
             Ok(StateAnswer::Committed(version)) => {
@@ -116,7 +113,7 @@
             }
             Ok(StateAnswer::Conflict(failed)) if failed.contains(&records::shard_key(shard)) => {
                 self.drop_shard(shard, "the claim is another's");
-                self.reply(Asker::Local(ask), Reply::busy("changing hands"));
+                self.reply(ask, Reply::busy("changing hands"));
             }
             Ok(StateAnswer::Conflict(_)) => {
                 // Recorded before: by another shard, by a lost answer of ours, or by a move. Read
@@ -124,9 +121,9 @@
                 self.machine_homes.remove(&report.machine);
                 let request = StateCall::Get(records::machine_key(&report.machine));
                 self.call_state(request, StateWork::FetchMachine { shard, claim });
-                self.reply(Asker::Local(ask), Reply::busy("recorded before"));
+                self.reply(ask, Reply::busy("recorded before"));
             }
-            _ => self.reply(Asker::Local(ask), Reply::busy("state not reachable")),
+            _ => self.reply(ask, Reply::busy("state not reachable")),
         }
     }
 
@@ -146,7 +143,7 @@
         }
     }
 
-    fn serve_report(&mut self, ask: AskId, shard_id: ShardId, report: Box<Report>) {
+    fn serve_report(&mut self, ask: Asker, shard_id: ShardId, report: Box<Report>) {
         let now = self.now;
         let (entitled, may_renew) = (self.entitled(), self.may_renew());
         let Some(shard) = self.shards.get_mut(&shard_id) else { return };
@@ -162,7 +159,7 @@
                 true => Reply::busy("being given back"),
                 false => workers::elsewhere(None),
             };
-            return self.reply(Asker::Local(ask), reply);
+            return self.reply(ask, reply);
         }
         let this = (report.session, report.seq);
         if this <= machine.last {
@@ -170,11 +167,14 @@
             // is known, so it is only answered.
             machine.answered = Some(now);
             let reply = workers::accepted(machine.token, &[]);
-            return self.reply(Asker::Local(ask), reply);
+            return self.reply(ask, reply);
         }
         let fresh = machine.proven && machine.answered.is_none() && machine.attempts.is_empty();
         machine.last = this;
         machine.seen = now;
+        if matches!(ask, Asker::Peer { .. }) {
+            machine.detoured = Some(now);
+        }
         machine.unanswered = 0;
         machine.addr = report.addr;
         machine.answered = Some(now);
@@ -184,7 +184,7 @@
         // holder's commands have come to: an older one may have been on its way when they were
         // sent. A machine that was never answered before can't have got any.
         if report.token < token && !fresh {
-            return self.reply(Asker::Local(ask), workers::accepted(token, &[]));
+            return self.reply(ask, workers::accepted(token, &[]));
         }
         if !machine.proven {
             machine.proven = true;
@@ -193,7 +193,7 @@
         shard.read_report(&report, now);
         shard.settle_unlocated();
         let commands = self.commands_for(shard_id, &report.machine, entitled);
-        self.reply(Asker::Local(ask), workers::accepted(token, &commands));
+        self.reply(ask, workers::accepted(token, &commands));
         self.finish_jobs(shard_id);
     }
 
@@ -331,7 +331,7 @@
                 if now.since(shard.claimed_at) > EARLY_WAIT {
                     let early = std::mem::take(&mut shard.early);
                     for (ask, _) in early {
-                        self.reply(Asker::Local(ask), Reply::busy("being loaded"));
+                        self.reply(ask, Reply::busy("being loaded"));
                     }
                 }
                 continue;
--- a/src/model.rs
+++ b/src/model.rs
@@ -220,7 +220,7 @@
 }
 
 /// A task of a job.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct TaskId {
     pub job: JobId,
     pub task: TaskIx,
--- a/src/protocol/peers.rs
+++ b/src/protocol/peers.rs
@@ -1,6 +1,7 @@
 //! What the controllers tell one another. Written in CBOR, one message a frame.
 
 use super::Reply;
+use super::workers::Report;
 use crate::model::{JobId, JobSpec, MachineId, Name, NodeLabel, Revision, ShardId};
 use serde::{Deserialize, Serialize};
 
@@ -26,7 +27,7 @@
         /// Idle machines of those shards that other shards may have.
         spare: Vec<Offer>,
     },
-    /// A user's request that another node's shard must decide.
+    /// A request of a user or a worker that another node's shard must decide.
     Ask {
         number: u64,
         shard: ShardId,
@@ -66,6 +67,8 @@
     Submit(Box<JobSpec>),
     Poll(JobId),
     Cancel(JobId),
+    /// A report of a worker that does not reach the shard's holder itself.
+    Report(Box<Report>),
 }
 
 pub fn encode(envelope: &Envelope) -> Vec<u8> {
--- a/src/protocol/workers.rs
+++ b/src/protocol/workers.rs
@@ -46,7 +46,7 @@
 }
 
 /// What a worker says of itself.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Report {
     pub machine: MachineId,
     pub addr: SocketAddrV4,
@@ -60,14 +60,14 @@
     pub tasks: Vec<TaskReport>,
 }
 
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct TaskReport {
     pub task: TaskId,
     pub attempt: AttemptNo,
     pub state: TaskState,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum TaskState {
     Fetching,
     Running,
@@ -76,7 +76,7 @@
 }
 
 /// Why a task ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Exit {
     Done,
     Stopped,
@@ -155,6 +155,11 @@
     serializer.collect_str(task)
 }
 
+/// How long a worker waits for the answer to a report, and how long it then waits before it tries
+/// the next node.
+pub const ANSWER_WAIT: Span = Span::millis(4000);
+pub const NEXT_NODE: Span = Span::millis(1000);
+
 /// The most commands that one answer carries: it must stay well under 64 KiB.
 pub const MOST_COMMANDS: usize = 400;
 
--- a/src/time.rs
+++ b/src/time.rs
@@ -1,5 +1,6 @@
 //! Steady time and spans of it, in microseconds, as types of their own.
 
+use serde::{Deserialize, Serialize};
 use std::ops::{Add, AddAssign, Sub};
 
 /// A reading of this process's steady clock.
@@ -7,7 +8,8 @@
 pub struct Time(pub u64);
 
 /// A length of time.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
 pub struct Span(pub u64);
 
 /// How far the steady clocks of two machines may drift apart, as parts in ten thousand. The
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -78,9 +78,7 @@
         4 => world.state.refused_until[node] = until,
         5 => world.cuts.push(cut(Host::Node(node), Some(Host::State))),
         6 => world.cuts.push(cut(Host::Node(node), None)),
-        7 => machines.iter().for_each(|m| {
-            world.cuts.push(Cut { a: Host::Node(node), b: Some(Host::Machine(*m)), until, hold });
-        }),
+        7 => world.cuts.push(cut(Host::Node(node), Some(Host::Machines))),
         8 => machine.into_iter().for_each(|m| world.cuts.push(cut(Host::Machine(m), None))),
         9 | 10 => {
             if let Some(worker) = machine.and_then(|m| world.workers.get_mut(&m)) {
@@ -323,6 +321,88 @@
     assert!(reads < 20, "{reads} reads for some 500 polls");
 }
 
+/// A fleet at work whose holder is then cut off from some hosts for 30 s. Gives back the node and the
+/// number of leases that ran out meanwhile.
+fn cut_holder(seed: u64, hold: bool, from: &[Host]) -> (World, usize, u64) {
+    let mut world = World::with_one_shard(seed, [12, 12]);
+    for id in 0..12 {
+        world.add_user(spec(id, JobKind::Service, "free", 3, 2.0), u64::MAX / 4, 2 * SEC, None, false);
+    }
+    world.run_until(30 * SEC);
+    let holder = world.holder(0).expect("somebody holds the shard");
+    let sessions = |world: &World| world.workers.values().map(|worker| worker.session).sum::<u64>();
+    let (before, machines) = (sessions(&world), world.workers.len());
+    let until = 60 * SEC;
+    for to in from {
+        world.cuts.push(Cut { a: Host::Node(holder), b: Some(*to), until, hold });
+    }
+    world.run_until(until - SEC);
+    assert!(world.workers.len() >= machines, "machines were given back: {machines} to {}", world.workers.len());
+    let more = sessions(&world) - before - (world.workers.len() - machines) as u64;
+    (world, holder, more)
+}
+
+/// The holder of all teams' shard could reach everybody but the workers: it renewed its claim for
+/// ever, the others sent the workers to it, and every lease ran out.
+#[test]
+fn a_holder_that_workers_do_not_reach_serves_them_through_others() {
+    for (seed, hold) in [(20, false), (21, true), (22, false), (23, true)] {
+        let (mut world, holder, lost) = cut_holder(seed, hold, &[Host::Machines]);
+        assert_eq!(lost, 0, "seed {seed}: leases ran out");
+        assert_eq!(world.holder(0), Some(holder), "seed {seed}: the shard changed hands");
+        assert_kept(&world, seed);
+        // New work is started as well, and afterwards the workers go back.
+        world.add_user(spec(50, JobKind::Array, "free", 4, 1.0), SEC, 61 * SEC, None, false);
+        world.run_until(150 * SEC);
+        assert_kept(&world, seed);
+        assert!(world.users.last().is_some_and(|user| user.done_at.is_some()), "seed {seed}: no new work is done");
+    }
+}
+
+/// With nobody but the state service in reach, a claim is of no use to anybody.
+#[test]
+fn a_holder_that_reaches_nobody_lets_go() {
+    for (seed, hold) in [(30, false), (31, true)] {
+        let peers = (0..3).map(Host::Node);
+        let from: Vec<Host> = peers.chain([Host::Machines]).collect();
+        let (world, holder, lost) = cut_holder(seed, hold, &from);
+        assert_kept(&world, seed);
+        let now = world.holder(0);
+        assert!(now.is_some_and(|now| now != holder), "seed {seed}: held by {now:?}, before by {holder}");
+        assert!(hold || lost == 0, "seed {seed}: {lost} leases ran out");
+    }
+}
+
+/// Nodes that neither hear one another nor any worker must not hand the shard round and round.
+#[test]
+fn a_shard_without_workers_does_not_go_round() {
+    let mut world = World::with_one_shard(32, [12, 12]);
+    world.add_user(spec(1, JobKind::Service, "free", 3, 2.0), u64::MAX / 4, 2 * SEC, None, false);
+    world.run_until(30 * SEC);
+    let until = 150 * SEC;
+    let hosts = [Host::Node(0), Host::Node(1), Host::Node(2)];
+    for (at, host) in hosts.iter().enumerate() {
+        world.cuts.push(Cut { a: *host, b: Some(Host::Machines), until, hold: false });
+        for other in &hosts[at + 1..] {
+            world.cuts.push(Cut { a: *host, b: Some(*other), until, hold: false });
+        }
+    }
+    let mut changes = 0;
+    let mut last = world.holder(0);
+    while world.now < until {
+        let next = world.now + SEC / 5;
+        world.run_until(next);
+        let now = world.holder(0);
+        changes += u32::from(now.is_some() && now != last);
+        last = now.or(last);
+    }
+    // Each node takes it at most after 20, 40 and 80 s more.
+    assert!(changes <= 9, "the shard changed hands {changes} times in 120 s");
+    world.run_until(200 * SEC);
+    assert_kept(&world, 32);
+    assert_eq!(world.replicas(&JobId::new("wk-000001")), 3);
+}
+
 /// Seeds that once broke a rule.
 #[test]
 fn what_was_broken_once_stays_mended() {
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -55,6 +55,8 @@
     State,
     Cloud,
     Machine(u32),
+    /// All machines, those that are still to come included.
+    Machines,
     Users,
 }
 
@@ -290,7 +292,8 @@
             at += self.rng.random_range(100 * MS..600 * MS);
         }
         for cut in &self.cuts {
-            let between = |x: Host, y: Host| (cut.a == x) && cut.b.is_none_or(|b| b == y);
+            let is = |one: Host, host: Host| one == host || one == Host::Machines && matches!(host, Host::Machine(_));
+            let between = |x: Host, y: Host| is(cut.a, x) && cut.b.is_none_or(|b| is(b, y));
             if cut.until > self.now && (between(from, to) || between(to, from)) {
                 if !cut.hold {
                     return None;
@@ -310,6 +313,12 @@
         self.at(at, Happening::Restart { node });
     }
 
+    /// The node that holds the shard, as it stands in the state service.
+    pub fn holder(&self, shard: u32) -> Option<usize> {
+        let label = self.state.holder(shard)?;
+        self.nodes.iter().position(|slot| slot.label.as_str() == label)
+    }
+
     pub fn is_up(&self, node: usize) -> bool {
         self.nodes[node].controller.is_some()
     }
--- a/tests/world/state.rs
+++ b/tests/world/state.rs
@@ -49,6 +49,11 @@
         }
     }
 
+    pub fn holder(&self, shard: u32) -> Option<String> {
+        let entry = self.keys.get(&format!("shard/{shard}"))?;
+        entry.value["node"].as_str().map(str::to_string)
+    }
+
     fn version(&self, key: &str) -> u64 {
         self.keys.get(key).map_or(0, |entry| entry.version.0)
     }
--- a/tests/world/workers.rs
+++ b/tests/world/workers.rs
@@ -33,7 +33,7 @@
     pub hung_until: u64,
     pub faulty: bool,
     pub notice_at: Option<u64>,
-    session: u64,
+    pub session: u64,
     seq: u64,
     token: u64,
     lease_from: Option<u64>,
