--- /dev/null
+++ b/src/coordination/cloud.rs
@@ -0,0 +1,275 @@
+//! Calls to the cloud: the catalog, rentals, deletions and the machine list, within what the cloud
+//! allows, and what follows from their answers.
+
+use super::shard::{Booting, Shard};
+use super::*;
+use crate::protocol::cloud::{Listed, MOST_DELETED};
+
+const CATALOG_AGE: Span = Span::millis(60_000);
+const LIST_PAUSE: Span = Span::millis(5_000);
+/// How long a refused kind of machine is not asked for again; doubled with each refusal.
+const REFUSED: Span = Span::millis(6_000);
+
+/// A rental request that has no final answer yet.
+pub(super) struct Rental {
+    pub kind: Name,
+    pub zone: Name,
+    pub spot: bool,
+    pub count: u32,
+    pub asked: Time,
+    pub in_flight: bool,
+}
+
+impl Rental {
+    pub fn is_of(&self, kind: &Name, zone: &Name, spot: bool) -> bool {
+        self.kind == *kind && self.zone == *zone && self.spot == spot
+    }
+}
+
+pub(super) struct Cloud {
+    pub catalog: Option<Vec<MachineType>>,
+    pub types: HashMap<Name, MachineType>,
+    catalog_at: Time,
+    catalog_call: bool,
+    pub listed: HashMap<MachineId, Listed>,
+    listed_at: Time,
+    list_call: bool,
+    pub budget: Budget,
+    refused: HashMap<(Name, Name, bool), (Time, u32)>,
+    pub planned_at: Time,
+    pub purging: bool,
+}
+
+impl Cloud {
+    pub fn new(cfg: &Settings) -> Cloud {
+        Cloud {
+            catalog: None,
+            types: HashMap::new(),
+            catalog_at: Time::ZERO,
+            catalog_call: false,
+            listed: HashMap::new(),
+            listed_at: Time::ZERO,
+            list_call: false,
+            budget: Budget::new(cfg.cloud_rps, 2.0 * cfg.cloud_rps),
+            refused: HashMap::new(),
+            planned_at: Time::ZERO,
+            purging: false,
+        }
+    }
+
+    /// How many calls a second this node may make. The cloud allows bursts of two seconds' worth.
+    pub fn set_share(&mut self, rate: f64) {
+        self.budget.set_rate(rate, 2.0 * rate);
+    }
+
+    pub fn is_refused(&self, kind: &Name, zone: &Name, spot: bool, now: Time) -> bool {
+        self.refused.get(&(kind.clone(), zone.clone(), spot)).is_some_and(|(until, _)| now < *until)
+    }
+
+    fn refuse(&mut self, rental: &Rental, now: Time) {
+        let key = (rental.kind.clone(), rental.zone.clone(), rental.spot);
+        let times = self.refused.get(&key).map_or(0, |(_, times)| *times);
+        let pause = REFUSED.times(f64::from(1u32 << times.min(3)));
+        self.refused.insert(key, (now + pause, times + 1));
+    }
+}
+
+impl Controller {
+    /// Keeps the catalog and the machine list fresh.
+    pub(super) fn look_at_cloud(&mut self) {
+        let now = self.now;
+        let age = if self.cloud.catalog.is_some() { CATALOG_AGE } else { Span::millis(400) };
+        if !self.cloud.catalog_call
+            && (self.cloud.catalog_at == Time::ZERO || now.since(self.cloud.catalog_at) >= age)
+            && self.cloud.budget.take(now, 1.0)
+        {
+            self.cloud.catalog_call = true;
+            self.cloud.catalog_at = now;
+            self.call_cloud(CloudCall::Catalog, CloudWork::Catalog);
+        }
+        if !self.entitled() || self.shards.is_empty() {
+            return;
+        }
+        if !self.cloud.list_call && now.since(self.cloud.listed_at) >= LIST_PAUSE && self.cloud.budget.take(now, 1.0) {
+            self.cloud.list_call = true;
+            self.cloud.listed_at = now;
+            let work = CloudWork::List { so_far: Vec::new() };
+            self.call_cloud(CloudCall::List { after: None }, work);
+        }
+    }
+
+    /// Sends rentals that have not been sent, or whose answer got lost: the same request name
+    /// rents nothing twice.
+    pub(super) fn ask_rentals(&mut self, id: ShardId) {
+        let now = self.now;
+        let Some(shard) = self.shards.get_mut(&id) else { return };
+        let claim = shard.claim;
+        let mut calls = Vec::new();
+        for (request, rental) in &mut shard.renting {
+            let due = rental.asked == Time::ZERO || now.since(rental.asked) > Span::millis(1000);
+            if !rental.in_flight && due && self.cloud.budget.take(now, 1.0) {
+                rental.in_flight = true;
+                rental.asked = now;
+                calls.push((
+                    CloudCall::Rent {
+                        request: request.clone(),
+                        kind: rental.kind.clone(),
+                        zone: rental.zone.clone(),
+                        spot: rental.spot,
+                        count: rental.count,
+                    },
+                    CloudWork::Rent { shard: id, claim, request: request.clone() },
+                ));
+            }
+        }
+        for (call, work) in calls {
+            self.call_cloud(call, work);
+        }
+    }
+
+    pub(super) fn cloud_answered(&mut self, work: CloudWork, answer: Result<CloudAnswer, CallError>) {
+        let now = self.now;
+        if let Err(CallError::Refused { over_limit: true }) = answer {
+            self.cloud.budget.exhausted(now);
+        }
+        match work {
+            CloudWork::Catalog => {
+                self.cloud.catalog_call = false;
+                if let Ok(CloudAnswer::Catalog(types)) = answer
+                    && !types.is_empty()
+                {
+                    self.cloud.types = types.iter().map(|kind| (kind.name.clone(), kind.clone())).collect();
+                    self.cloud.catalog = Some(types);
+                }
+            }
+            CloudWork::List { mut so_far } => match answer {
+                Ok(CloudAnswer::Machines { listed, more }) => {
+                    let after = listed.last().map(|machine| machine.id.clone());
+                    so_far.extend(listed);
+                    match after {
+                        Some(_) if more => self.call_cloud(CloudCall::List { after }, CloudWork::List { so_far }),
+                        _ => {
+                            self.cloud.list_call = false;
+                            self.machines_listed(so_far);
+                        }
+                    }
+                }
+                _ => self.cloud.list_call = false,
+            },
+            CloudWork::Rent { shard, claim, request } => self.rented(shard, claim, request, answer),
+            CloudWork::Delete { shard, claim, machines } => self.deleted(shard, claim, machines, answer),
+            CloudWork::Purge => self.cloud.purging = false,
+        }
+    }
+
+    fn rented(&mut self, shard: ShardId, claim: Revision, request: String, answer: Result<CloudAnswer, CallError>) {
+        let now = self.now;
+        let Some(mine) = self.shards.get_mut(&shard).filter(|mine| mine.claim == claim) else { return };
+        let Some(rental) = mine.renting.get_mut(&request) else { return };
+        rental.in_flight = false;
+        match answer {
+            Ok(CloudAnswer::Rented(machines)) => {
+                let Some(rental) = mine.renting.remove(&request) else { return };
+                log::info!(
+                    "rented {} of {} {} in {}{}",
+                    machines.len(),
+                    rental.count,
+                    rental.kind,
+                    rental.zone,
+                    if rental.spot { ", spot" } else { "" }
+                );
+                for machine in &machines {
+                    self.machine_homes.insert(machine.clone(), shard);
+                    if mine.machines.contains_key(machine) {
+                        continue;
+                    }
+                    let (kind, zone) = (rental.kind.clone(), rental.zone.clone());
+                    let booting = Booting { kind, zone, spot: rental.spot, since: now, deleting: false };
+                    mine.booting.insert(machine.clone(), booting);
+                }
+                if (machines.len() as u32) < rental.count {
+                    mine.drop_unsent(&rental);
+                    self.cloud.refuse(&rental, now);
+                } else {
+                    self.cloud.refused.remove(&(rental.kind, rental.zone, rental.spot));
+                }
+                self.cloud.planned_at = Time::ZERO;
+            }
+            Ok(CloudAnswer::NoCapacity) => {
+                let Some(rental) = mine.renting.remove(&request) else { return };
+                log::info!(
+                    "no {} to be had in {}{}",
+                    rental.kind,
+                    rental.zone,
+                    if rental.spot { ", spot" } else { "" }
+                );
+                mine.drop_unsent(&rental);
+                self.cloud.refuse(&rental, now);
+                self.cloud.planned_at = Time::ZERO;
+            }
+            Err(CallError::Odd(status)) => {
+                log::error!("rental {request} was answered with {status}");
+                mine.renting.remove(&request);
+            }
+            _ => {}
+        }
+    }
+
+    pub(super) fn delete_machines(&mut self, id: ShardId) {
+        let now = self.now;
+        let Some(shard) = self.shards.get_mut(&id) else { return };
+        if shard.deleting_until > now {
+            return;
+        }
+        let due = shard.machines.iter().filter(|(_, machine)| machine.deleting).map(|(id, _)| id.clone());
+        let stuck = shard.booting.iter().filter(|(_, machine)| machine.deleting).map(|(id, _)| id.clone());
+        let names: Vec<MachineId> = due.chain(stuck).take(MOST_DELETED).collect();
+        if names.is_empty() || !self.cloud.budget.take(now, 1.0) {
+            return;
+        }
+        shard.deleting_until = now + Span::millis(5000);
+        let claim = shard.claim;
+        let work = CloudWork::Delete { shard: id, claim, machines: names.clone() };
+        self.call_cloud(CloudCall::Delete(names), work);
+    }
+
+    fn deleted(
+        &mut self,
+        id: ShardId,
+        claim: Revision,
+        machines: Vec<MachineId>,
+        answer: Result<CloudAnswer, CallError>,
+    ) {
+        let now = self.now;
+        let Some(shard) = self.shards.get_mut(&id).filter(|shard| shard.claim == claim) else { return };
+        shard.deleting_until = match answer {
+            Ok(CloudAnswer::Deleted) => Time::ZERO,
+            _ => now + Span::millis(1000),
+        };
+        if !matches!(answer, Ok(CloudAnswer::Deleted)) {
+            return;
+        }
+        for machine in machines {
+            let Some(shard) = self.shards.get_mut(&id) else { return };
+            log::info!("machine {machine} given back");
+            shard.booting.remove(&machine);
+            if shard.machines.contains_key(&machine) {
+                // The cloud has confirmed it: the machine and all that ran there are gone.
+                shard.lose(&machine, |_, _| true, now);
+                if let Some(machine) = shard.machines.get_mut(&machine) {
+                    machine.proven = true;
+                }
+                self.forget_machine(id, &machine);
+            }
+        }
+    }
+}
+
+impl Shard {
+    /// Drops requests that were not sent yet for what has just been refused. They would count as
+    /// machines on their way until each had its own refusal, and nothing else would be rented.
+    fn drop_unsent(&mut self, refused: &Rental) {
+        self.renting
+            .retain(|_, other| other.asked != Time::ZERO || !other.is_of(&refused.kind, &refused.zone, refused.spot));
+    }
+}
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -3,10 +3,13 @@
 //! the same code in simulated time.
 
 mod binding;
+mod cloud;
 mod detours;
 mod fleet;
 mod ledger;
 mod members;
+mod moves;
+mod returns;
 mod shard;
 mod users;
 mod workers;
@@ -251,7 +254,7 @@
 
     requests: Budget,
     writes: Budget,
-    cloud: fleet::Cloud,
+    cloud: cloud::Cloud,
 }
 
 /// The newest ended jobs; older ones are read from the state service.
@@ -320,7 +323,7 @@
             reluctance: None,
             requests,
             writes,
-            cloud: fleet::Cloud::new(&cfg),
+            cloud: cloud::Cloud::new(&cfg),
             cfg,
         };
         controller.share_limits();
--- /dev/null
+++ b/src/coordination/moves.rs
@@ -0,0 +1,136 @@
+//! Moving idle machines between shards.
+
+use super::fleet::{Bin, Demand, fill};
+use super::*;
+use crate::bookkeeping::records::{self, MachineRecord};
+use crate::protocol::peers::Offer;
+use crate::protocol::state::Change;
+
+impl Controller {
+    /// Asks other shards for idle machines that the job could use; gives back how many tasks
+    /// they leave without room.
+    pub(super) fn take_offers(&mut self, id: ShardId, demand: &Demand, bins: &mut Vec<Bin>) -> u32 {
+        let now = self.now;
+        let mut left = demand.count;
+        let theirs = self.peers.values().filter(|peer| now.since(peer.seen) < Span::millis(1500));
+        let mut offers: Vec<Offer> = theirs.flat_map(|peer| peer.spare.iter().cloned()).collect();
+        let others = self.shards.values().filter(|shard| shard.id != id && shard.active);
+        offers.extend(others.flat_map(|shard| shard.offers(now)));
+        offers.sort_by_key(|offer| !offer.spot);
+        for offer in offers {
+            let spec = &demand.spec;
+            let allowed = spec.allows(&offer.kind, &offer.zone, offer.spot);
+            let Some(kind) = self.cloud.types.get(&offer.kind) else { continue };
+            let room = kind.room;
+            let slots = room.slots(&spec.needs);
+            let taken = self.shards.values().any(|s| s.taking.contains_key(&offer.machine));
+            if left == 0 || !allowed || slots == 0 || taken {
+                continue;
+            }
+            let Some(from) = self.machine_homes.get(&offer.machine).copied().filter(|from| *from != id) else {
+                continue;
+            };
+            let message = PeerMessage::Take { machine: offer.machine.clone(), shard: id };
+            if self.shards.contains_key(&from) {
+                self.machine_wanted(offer.machine.clone(), id);
+            } else if let Some(to) = self.holder_of(from).cloned() {
+                self.out.push(Action::Send { to, message });
+            } else {
+                continue;
+            }
+            let (kind, zone, spot) = (offer.kind.clone(), offer.zone.clone(), offer.spot);
+            bins.push(Bin { id: None, kind, zone, spot, room, used: false });
+            let one = Demand { spec: spec.clone(), count: left, avoids: demand.avoids.clone(), ..*demand };
+            left = fill(bins, &one, &self.cloud.types);
+            if let Some(shard) = self.shards.get_mut(&id) {
+                shard.taking.insert(offer.machine.clone(), (offer, now));
+            }
+        }
+        left
+    }
+
+    /// Another shard asks for a machine that was offered.
+    pub(super) fn machine_wanted(&mut self, machine: MachineId, to: ShardId) {
+        if !self.entitled() {
+            return;
+        }
+        let now = self.now;
+        let owner = self.shards.values_mut().find(|shard| shard.machines.contains_key(&machine));
+        let Some(shard) = owner.filter(|shard| shard.active && shard.id != to) else { return };
+        let offered = shard.offers(now).iter().any(|offer| offer.machine == machine);
+        let id = shard.id;
+        let Some(moving) = shard.machines.get_mut(&machine).filter(|_| offered) else { return };
+        moving.draining = true;
+        moving.moving_to = Some(to);
+        self.write_move(id, &machine);
+    }
+
+    fn write_move(&mut self, id: ShardId, machine: &MachineId) {
+        let Some(shard) = self.shards.get(&id) else { return };
+        let Some((moving, to)) = shard.machines.get(machine).and_then(|m| Some((m, m.moving_to?))) else { return };
+        let record = MachineRecord {
+            shard: to,
+            kind: moving.kind.clone(),
+            zone: moving.zone.clone(),
+            spot: moving.spot,
+            addr: moving.addr.to_string(),
+        };
+        let key = records::machine_key(machine);
+        let request = StateCall::Commit {
+            conditions: vec![(records::shard_key(id), shard.claim), (key.clone(), moving.version)],
+            changes: vec![Change::Put { key, value: super::members::to_value(&record), hold: None }],
+        };
+        let work = StateWork::Move { shard: id, claim: shard.claim, machine: machine.clone(), to };
+        self.call_state(request, work);
+    }
+
+    pub(super) fn moved(
+        &mut self,
+        id: ShardId,
+        claim: Revision,
+        machine: MachineId,
+        to: ShardId,
+        answer: Result<StateAnswer, CallError>,
+    ) {
+        let Some(shard) = self.shard_under(id, claim) else { return };
+        match answer {
+            Ok(StateAnswer::Conflict(failed)) if failed.contains(&records::shard_key(id)) => {
+                self.drop_shard(id, "the claim is another's")
+            }
+            // A conflict on the machine alone: an earlier try was executed after all.
+            Ok(StateAnswer::Committed(_) | StateAnswer::Conflict(_)) => {
+                log::info!("machine {machine} moves from shard {id} to shard {to}");
+                shard.machines.remove(&machine);
+                shard.settle_unlocated();
+                self.machine_homes.insert(machine.clone(), to);
+                match self.holder_of(to).cloned() {
+                    Some(node) if node == self.cfg.label => self.machine_moved_in(machine, to),
+                    Some(node) => {
+                        let message = PeerMessage::Moved { machine, shard: to };
+                        self.out.push(Action::Send { to: node, message });
+                    }
+                    None => {}
+                }
+            }
+            // An unanswered move may be executed at any time, so the machine gets nothing more
+            // to do here; the same move is tried again until it is certain.
+            _ => shard.retry_moves.push(machine),
+        }
+    }
+
+    pub(super) fn retry_moves(&mut self, id: ShardId) {
+        let Some(shard) = self.shards.get_mut(&id) else { return };
+        for machine in std::mem::take(&mut shard.retry_moves) {
+            self.write_move(id, &machine);
+        }
+    }
+
+    pub(super) fn machine_moved_in(&mut self, machine: MachineId, shard: ShardId) {
+        self.machine_homes.insert(machine.clone(), shard);
+        let Some(mine) = self.shards.get_mut(&shard).filter(|mine| mine.active) else { return };
+        mine.taking.remove(&machine);
+        let claim = mine.claim;
+        let request = StateCall::Get(records::machine_key(&machine));
+        self.call_state(request, StateWork::FetchMachine { shard, claim });
+    }
+}
--- /dev/null
+++ b/src/coordination/returns.rs
@@ -0,0 +1,185 @@
+//! Returning machines: silent, idle, failed and stuck ones, and those that nobody knows.
+
+use super::*;
+use crate::bookkeeping::records;
+use crate::protocol::cloud::{Listed, MOST_DELETED, MachineState};
+use crate::protocol::state::Change;
+
+/// How long after a takeover a machine may take to answer before it is given back.
+const PROOF_WAIT: Span = Span::millis(3_000);
+/// How long after its lease a silent machine that the cloud no longer lists is forgotten.
+const GONE: Span = Span::millis(10_000);
+
+impl Controller {
+    /// Gives back machines that do not answer while tasks wait for what may be on them. A silent
+    /// machine loses its tasks anyway when its lease runs out, but that may lie far ahead, most of
+    /// all after a takeover; once the cloud has deleted it, its tasks may start elsewhere at once.
+    /// Where most machines are silent, or come by way of other nodes, the fault is rather on this side
+    /// and nothing is given back.
+    pub(super) fn return_silent(&mut self, id: ShardId) {
+        let now = self.now;
+        let patience = (self.cfg.lease.times(0.5)).max(self.cfg.report.times(3.0));
+        let lease = self.cfg.lease;
+        let Some(shard) = self.shards.get_mut(&id) else { return };
+        // One that reaches this node has reported within that time. What was heard longer ago says
+        // nothing about the moment: when a cut begins, all machines fall silent one after another.
+        // After a takeover workers take longer to find this node.
+        let settled = now.since(shard.claimed_at) >= lease;
+        let recent = if settled { self.cfg.report.times(1.25) + Span::millis(1000) } else { patience };
+        let (mut heard, mut silent) = (0, Vec::new());
+        for (name, machine) in &shard.machines {
+            let quiet = now.since(machine.seen);
+            let detoured = machine.detoured.is_some_and(|at| now.since(at) < patience);
+            if machine.proven && quiet < recent && !detoured {
+                heard += 1;
+            } else if machine.proven && quiet < recent && !detoured {
+                continue;
+            } else if !machine.deleting
+                && match machine.proven {
+                    true => machine.unanswered > 0 && !machine.is_empty(),
+                    false => quiet >= PROOF_WAIT,
+                }
+            {
+                silent.push(name.clone());
+            }
+        }
+        if silent.len() > heard {
+            return;
+        }
+        for name in silent {
+            log::warn!("machine {name} does not answer and is given back");
+            if let Some(machine) = shard.machines.get_mut(&name) {
+                machine.deleting = true;
+            }
+        }
+    }
+
+    /// Returns machines that have been idle for a while and that the count found no use for.
+    pub(super) fn give_back(&mut self, id: ShardId) {
+        let (now, wait) = (self.now, self.cfg.own.give_back);
+        let lease = self.cfg.lease;
+        let Some(shard) = self.shards.get_mut(&id) else { return };
+        let spare = std::mem::take(&mut shard.spare);
+        for (name, machine) in &mut shard.machines {
+            if !machine.listed || machine.deleting || machine.moving_to.is_some() {
+                continue;
+            }
+            let idle = machine.is_empty() && machine.proven;
+            if idle && spare.contains(name) && now.since(machine.idle_since) >= wait {
+                machine.deleting = true;
+            }
+            machine.deleting |= idle && now < machine.distrusted_until;
+            // Paid for, and its tasks are long started anew elsewhere.
+            if machine.surely_dead(now, lease) && now.since(machine.seen) > lease.times(1.5) {
+                machine.deleting = true;
+            }
+        }
+        shard.spare = spare;
+    }
+
+    pub(super) fn machines_listed(&mut self, listed: Vec<Listed>) {
+        let (now, lease, lag) = (self.now, self.cfg.lease, self.cfg.list_lag);
+        self.cloud.listed = listed.into_iter().map(|machine| (machine.id.clone(), machine)).collect();
+        let ids: Vec<ShardId> = self.shards.values().filter(|s| s.active).map(|s| s.id).collect();
+        for id in &ids {
+            let Some(shard) = self.shards.get_mut(id) else { continue };
+            let mut vanished = Vec::new();
+            for (name, machine) in &mut shard.machines {
+                let entry = self.cloud.listed.get(name);
+                machine.listed |= entry.is_some();
+                if entry.is_some_and(|entry| entry.state == MachineState::Failed) {
+                    machine.deleting = true;
+                }
+                let silent = now.since(machine.seen) > lease + lag + lag + GONE;
+                if entry.is_none() && silent && machine.surely_dead(now, lease) {
+                    vanished.push(name.clone());
+                }
+            }
+            for (name, machine) in &mut shard.booting {
+                let Some(kind) = self.cloud.types.get(&machine.kind) else { continue };
+                let entry = self.cloud.listed.get(name);
+                let failed = entry.is_some_and(|entry| entry.state == MachineState::Failed);
+                let patience = kind.boot.times(2.5) + Span::millis(10_000);
+                machine.deleting |= failed || now.since(machine.since) > patience;
+            }
+            for name in vanished {
+                log::info!("machine {name} is gone");
+                self.forget_machine(*id, &name);
+            }
+        }
+        self.purge_strays(&ids);
+    }
+
+    /// Machines that nobody knows: rented by a request that was executed late, or by a node that
+    /// did not live to hear of it. Those that report are adopted; those that never boot, and the
+    /// remains of failed ones, are returned by the holder of the shard their number falls in.
+    fn purge_strays(&mut self, held: &[ShardId]) {
+        if self.cloud.purging {
+            return;
+        }
+        let mut strays = Vec::new();
+        for (name, entry) in &self.cloud.listed {
+            let known = self.shards.values().any(|s| s.machines.contains_key(name) || s.booting.contains_key(name));
+            let elsewhere = self.machine_homes.get(name).is_some_and(|home| !held.contains(home));
+            if known || elsewhere || !held.contains(&self.default_shard(name)) {
+                continue;
+            }
+            let boot = self.cloud.types.get(&entry.kind).map_or(Span::ZERO, |kind| kind.boot);
+            let stuck = entry.state == MachineState::Booting
+                && entry.age > boot.times(4.0) + Span::millis(30_000) + self.cfg.list_lag;
+            if stuck || (entry.state == MachineState::Failed && entry.age > Span::millis(30_000)) {
+                strays.push(name.clone());
+            }
+        }
+        strays.truncate(MOST_DELETED);
+        if !strays.is_empty() && self.cloud.budget.take(self.now, 1.0) {
+            log::info!("returning {} machines that nobody knows", strays.len());
+            self.cloud.purging = true;
+            self.call_cloud(CloudCall::Delete(strays), CloudWork::Purge);
+        }
+    }
+
+    /// Takes a machine that is gone out of the records and out of memory.
+    pub(super) fn forget_machine(&mut self, id: ShardId, machine: &MachineId) {
+        let Some(shard) = self.shards.get_mut(&id) else { return };
+        let claim = shard.claim;
+        let Some(gone) = shard.machines.remove(machine) else { return };
+        shard.settle_unlocated();
+        self.machine_homes.remove(machine);
+        self.write_forget(id, claim, machine.clone(), gone.version);
+    }
+
+    fn write_forget(&mut self, id: ShardId, claim: Revision, machine: MachineId, version: Revision) {
+        let key = records::machine_key(&machine);
+        let request = StateCall::Commit {
+            conditions: vec![(records::shard_key(id), claim), (key.clone(), version)],
+            changes: vec![Change::Delete(key)],
+        };
+        self.call_state(request, StateWork::Forget { shard: id, claim, machine, version });
+    }
+
+    /// Removals of records that were refused or unanswered are tried again. One that was executed
+    /// after all fails on the version, and that is the end of it.
+    pub(super) fn retry_forgets(&mut self, id: ShardId) {
+        let Some(shard) = self.shards.get_mut(&id) else { return };
+        let claim = shard.claim;
+        for (machine, version) in std::mem::take(&mut shard.leftovers) {
+            self.write_forget(id, claim, machine, version);
+        }
+    }
+
+    pub(super) fn machine_forgotten(
+        &mut self,
+        id: ShardId,
+        claim: Revision,
+        machine: MachineId,
+        version: Revision,
+        answer: Result<StateAnswer, CallError>,
+    ) {
+        if answer.is_err()
+            && let Some(shard) = self.shard_under(id, claim)
+        {
+            shard.leftovers.push((machine, version));
+        }
+    }
+}
--- a/src/coordination/shard.rs
+++ b/src/coordination/shard.rs
@@ -206,7 +206,7 @@
     pub machines: BTreeMap<MachineId, Machine>,
     pub booting: BTreeMap<MachineId, Booting>,
     /// Rentals on the way, by request name.
-    pub renting: BTreeMap<String, super::fleet::Rental>,
+    pub renting: BTreeMap<String, super::cloud::Rental>,
     /// No machine is unproven and no inherited task is left to be found.
     pub settled: bool,
     /// Arrays whose last task has completed and whose end is not being recorded yet.
