--- a/src/coordination/returns.rs
+++ b/src/coordination/returns.rs
@@ -32,7 +32,7 @@
             let detoured = machine.detoured.is_some_and(|at| now.since(at) < patience);
             if machine.proven && quiet < recent && !detoured {
                 heard += 1;
-            } else if machine.proven && quiet < recent && !detoured {
+            } else if machine.proven && quiet < patience {
                 continue;
             } else if !machine.deleting
                 && match machine.proven {
