Let a job that fails everywhere try one task at a time, and blame no machine for it

A job is at fault when it failed on several machines and runs hardly anywhere; a large job that meets two faulty machines is not. It then tries one task at a time with doubling pauses, counts as one task, its record says so, and its failures are lifted from the machines.

--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -60,6 +60,9 @@
     /// No task from this number on was ever started.
     #[serde(default)]
     pub untouched: u32,
+    /// Its tasks fail everywhere, so that the next holder need not find that out anew.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub failing: bool,
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/src/coordination/binding.rs
+++ b/src/coordination/binding.rs
@@ -1,7 +1,7 @@
 //! Late binding: when a worker reports room, the first tasks from the queue's front that fit go
 //! to it. Nothing is bound before.
 
-use super::shard::{Attempt, Job, Line, Machine, Shard};
+use super::shard::{AVOID, Attempt, Job, Line, Machine, Shard};
 use crate::config::Settings;
 use crate::model::*;
 use crate::protocol::workers::Command;
@@ -11,8 +11,6 @@
 
 /// For how long the order of the line is kept.
 const LINE_AGE: Span = Span::millis(200);
-/// How long a machine on which a job's task failed gets no other task of that job.
-const AVOID: Span = Span::millis(90_000);
 
 /// What binding needs to know besides the shard.
 pub(super) struct Market<'a> {
@@ -30,7 +28,9 @@
     /// The next task that may be started, if any may be.
     pub fn next_task(&self, now: Time) -> Option<u32> {
         let task = self.pending.first().filter(|task| *task < self.untouched)?;
-        (self.is_live() && now >= self.rest_until).then_some(task)
+        // A job that fails everywhere tries one task at a time, until one completes.
+        let may_try = !self.at_fault || self.spec.kind == JobKind::Service || self.running.is_empty();
+        (self.is_live() && may_try && now >= self.rest_until).then_some(task)
     }
 
     /// Seconds left until the job should be done: until its deadline, or until the first of its
@@ -207,7 +207,7 @@
             if !self.quota_allows(job, &usage, market.cfg) {
                 continue;
             }
-            for _ in 0..job.pending.len() {
+            for _ in 0..if job.at_fault { 1 } else { job.pending.len() } {
                 let suits = |id: &MachineId| {
                     self.machines.get(id).is_some_and(|machine| {
                         job.spec.allows(&machine.kind, &machine.zone, machine.spot)
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -127,12 +127,18 @@
         let mut services = 0;
         let mut newest: Option<&super::shard::Job> = None;
         for job in &jobs {
-            let waiting = job.pending.len() + job.unlocated.len();
+            // A job that fails everywhere drives no rentals but for the one task it tries.
+            let hopeless = job.at_fault;
+            let waiting = if hopeless { 1 } else { job.pending.len() + job.unlocated.len() };
             let (wanted, per_slot, per_new_slot) = match job.spec.kind {
                 JobKind::Service => {
-                    services += job.spec.tasks;
-                    newest = newest.filter(|other| other.order >= job.order).or(Some(job));
-                    (job.spec.tasks, 1, 1)
+                    if hopeless {
+                        ((job.running.len() as u32 + waiting).min(job.spec.tasks), 1, 1)
+                    } else {
+                        services += job.spec.tasks;
+                        newest = newest.filter(|other| other.order >= job.order).or(Some(job));
+                        (job.spec.tasks, 1, 1)
+                    }
                 }
                 JobKind::Array => {
                     let (here, new) = self.per_slot_targets(job);
--- a/src/coordination/ledger.rs
+++ b/src/coordination/ledger.rs
@@ -8,7 +8,7 @@
 
 /// What of a job's record was written or read.
 pub(super) enum JobWrite {
-    Progress { done: RangeSet, all: u32, untouched: u32 },
+    Progress { done: RangeSet, all: u32, untouched: u32, failing: bool },
     End(Final),
     Reread,
     RereadEnd,
@@ -111,6 +111,7 @@
             accepted_ms: job.accepted_ms,
             done: String::new(),
             untouched: job.wants_untouched(),
+            failing: job.at_fault,
         };
         // What does not fit is not recorded, and so not forgotten by the workers either.
         let base = to_value(&record).to_string().len();
@@ -123,7 +124,8 @@
             conditions: vec![(records::shard_key(shard_id), claim), (key.clone(), job.version)],
             changes: vec![Change::Put { key, value: to_value(&record), hold: None }],
         };
-        let work = JobWrite::Progress { done, all: job.done.len(), untouched: record.untouched };
+        let work =
+            JobWrite::Progress { done, all: job.done.len(), untouched: record.untouched, failing: record.failing };
         self.call_state(request, StateWork::Job { shard: shard_id, claim, job: id.clone(), work });
     }
 
@@ -157,10 +159,11 @@
             return self.drop_shard(shard_id, "the claim is another's");
         }
         match (work, answer) {
-            (JobWrite::Progress { done, all, untouched }, Ok(StateAnswer::Committed(version))) => {
+            (JobWrite::Progress { done, all, untouched, failing }, Ok(StateAnswer::Committed(version))) => {
                 job.version = version;
                 job.written = all;
                 job.recorded = done;
+                job.fault_recorded = failing;
                 if untouched > job.untouched {
                     job.untouched = untouched;
                     shard.line.made = None;
@@ -176,6 +179,7 @@
                         job.recorded = RangeSet::parse(&record.done, job.spec.tasks).unwrap_or_default();
                         job.written = job.recorded.len();
                         job.untouched = record.untouched.min(job.spec.tasks);
+                        job.fault_recorded = record.failing;
                         job.unsure = false;
                     }
                     Err(error) => log::error!("record of job {id} can't be read: {error}"),
--- a/src/coordination/shard.rs
+++ b/src/coordination/shard.rs
@@ -41,7 +41,13 @@
     pub last_write: Time,
     /// Machines on which one of its tasks failed, newest last.
     pub failed_on: Vec<(MachineId, Time)>,
+    /// How many times it failed and had to rest, or was on one machine, since a task completed.
     pub failures: u32,
+    /// They failed on several machines and none has completed since: the job itself is to blame, not
+    /// the machines.
+    pub at_fault: bool,
+    /// Whether the record says so.
+    pub fault_recorded: bool,
     pub rest_until: Time,
     /// Since when its first pending task has been passed over while others were started.
     pub skipped_since: Option<Time>,
@@ -78,10 +84,19 @@
     }
 
     pub fn is_dirty(&self) -> bool {
-        self.done.len() != self.written || self.wants_untouched() > self.untouched
+        self.done.len() != self.written
+            || self.wants_untouched() > self.untouched
+            || self.at_fault != self.fault_recorded
     }
 }
 
+/// How many machines are remembered on which a job's tasks failed.
+const MOST_FAILED_ON: usize = 64;
+
+/// How long a machine on which a job's task failed gets no other task of that job, and how long
+/// failures are held against the job.
+pub(super) const AVOID: Span = Span::millis(90_000);
+
 /// More than any machine has, yet little enough to add up many times.
 const EVERYTHING: Amount = Amount(u64::MAX >> 24);
 
@@ -299,7 +314,11 @@
                 false => pending.insert(task),
             };
         }
+        let id = spec.id.clone();
         self.insert_job(spec, version, record.accepted_ms, untouched, pending, unlocated, done);
+        if let Some(job) = self.jobs.get_mut(&id) {
+            (job.at_fault, job.fault_recorded) = (record.failing, record.failing);
+        }
     }
 
     /// Takes in a job that this holder has just accepted: nothing of it has been started.
@@ -344,6 +363,8 @@
             last_write: Time::ZERO,
             failed_on: Vec::new(),
             failures: 0,
+            at_fault: false,
+            fault_recorded: false,
             rest_until: Time::ZERO,
             skipped_since: None,
             waiting_since: self.claimed_at,
@@ -463,16 +484,7 @@
             machine.idle_since = now;
         }
         match outcome {
-            // A job that fails on several machines is to blame itself, not the machines.
-            Outcome::Exited(Exit::Error)
-                if self.jobs.get(&task.job).is_some_and(|job| job.failed_on.iter().all(|(id, _)| id == machine_id)) =>
-            {
-                machine.failed_jobs.insert(task.job.clone());
-                if machine.failed_jobs.len() >= SUSPICIOUS {
-                    log::warn!("machine {machine_id}: several jobs' tasks failed there");
-                    machine.distrusted_until = now + DISTRUST;
-                }
-            }
+            Outcome::Exited(Exit::Error) => self.blame(machine_id, &task.job, now),
             Outcome::Exited(Exit::Done) => machine.failed_jobs.clear(),
             _ => {}
         }
@@ -489,7 +501,7 @@
             if let Some(seconds) = ran {
                 job.ran = (job.ran.0 + seconds, job.ran.1 + 1);
             }
-            job.failures = 0;
+            (job.failures, job.at_fault) = (0, false);
             return self.complete(&task);
         }
         if job.pending.is_empty() {
@@ -500,15 +512,54 @@
         if matches!(outcome, Outcome::Exited(Exit::Error | Exit::Unknown)) {
             // A job that fails everywhere must not go round all machines again and again, and a
             // faulty machine must not get the same job's tasks again and again.
+            if job.failed_on.last().is_none_or(|(_, last)| now.since(*last) >= AVOID) {
+                (job.failed_on, job.failures) = (Vec::new(), 0);
+                job.at_fault &= job.spec.kind == JobKind::Array;
+            }
             job.failed_on.retain(|(id, _)| id != machine_id);
             job.failed_on.push((machine_id.clone(), now));
-            if job.failed_on.len() > 16 {
+            if job.failed_on.len() > MOST_FAILED_ON {
                 job.failed_on.remove(0);
             }
-            job.failures += 1;
-            if job.failed_on.len() > 1 || outcome == Outcome::Exited(Exit::Unknown) {
+            // What was started before it came to rest and fails meanwhile is no new failure.
+            if now >= job.rest_until {
+                job.failures += 1;
+            }
+            // A large job meets several faulty machines; one that is at fault runs hardly anywhere.
+            let failed = job.failed_on.len();
+            let found_out = !job.at_fault && failed > 1 && 4 * failed >= job.running.len();
+            job.at_fault |= found_out;
+            if job.at_fault || outcome == Outcome::Exited(Exit::Unknown) {
                 let pause = Span::millis(500).times(f64::from(1u32 << job.failures.min(7)));
-                job.rest_until = now + pause;
+                job.rest_until = job.rest_until.max(now + pause);
+                self.line.made = None;
+            }
+            if found_out {
+                log::info!("job {} fails everywhere", task.job);
+                self.absolve_machines(&task.job);
+            }
+        }
+    }
+
+    /// Holds a failure against the machine, unless the job is known to fail everywhere.
+    fn blame(&mut self, machine_id: &MachineId, job: &JobId, now: Time) {
+        if self.jobs.get(job).is_none_or(|job| job.at_fault) {
+            return;
+        }
+        let Some(machine) = self.machines.get_mut(machine_id) else { return };
+        machine.failed_jobs.insert(job.clone());
+        if machine.failed_jobs.len() >= SUSPICIOUS && now >= machine.distrusted_until {
+            log::warn!("machine {machine_id}: several jobs' tasks failed there");
+            machine.distrusted_until = now + DISTRUST;
+        }
+    }
+
+    /// None of a job's failures counts against a machine any more: several such jobs that meet on one
+    /// would have it returned for nothing.
+    fn absolve_machines(&mut self, job: &JobId) {
+        for machine in self.machines.values_mut() {
+            if machine.failed_jobs.remove(job) && machine.failed_jobs.len() < SUSPICIOUS {
+                machine.distrusted_until = Time::ZERO;
             }
         }
     }
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -344,6 +344,7 @@
             accepted_ms: self.day_ms,
             done: String::new(),
             untouched: spec.tasks.min(FIRST_STARTS),
+            failing: false,
             job: spec,
         };
         let value = to_value(&record);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -403,6 +403,48 @@
     assert_eq!(world.replicas(&JobId::new("wk-000001")), 3);
 }
 
+/// Jobs that were submitted with a mistake went round all machines and had more of them rented; where
+/// several met, the machine was thought faulty and got nothing more, or was given back.
+#[test]
+fn broken_jobs_cost_little_and_are_not_held_against_machines() {
+    for seed in 40..44 {
+        let mut world = World::with_one_shard(seed, [4, 4]);
+        world.cloud.sound = true;
+        for id in 0..8 {
+            world.add_user(spec(id, JobKind::Service, "free", 1, 2.0), u64::MAX / 4, 2 * SEC, None, false);
+        }
+        world.run_until(20 * SEC);
+        let starts = world.starts;
+        for id in 20..28 {
+            let at = 20 * SEC + u64::from(id % 4) * SEC;
+            world.add_user(spec(id, JobKind::Array, "free", 20, 1.0), SEC, at, None, true);
+        }
+        world.run_until(40 * SEC);
+        let (first, rented) = (world.starts - starts, world.cloud.rented);
+        // What fails everywhere neither holds room nor takes other jobs' machines away, also where a
+        // new holder does not know yet what has failed.
+        (0..3).for_each(|node| world.crash(node, SEC));
+        world.add_user(spec(30, JobKind::Array, "free", 12, 1.0), SEC, 40 * SEC, None, false);
+        world.run_until(75 * SEC);
+        let (later, more) = (world.starts - starts - first - 12, world.cloud.rented - rented);
+        let done = world.users.last().and_then(|user| user.done_at).map(|at| at / SEC);
+        assert!(done.is_some_and(|at| at < 56), "seed {seed}: the sound job was done at {done:?}");
+        assert!(later <= 8 * 6, "seed {seed}: {later} starts of broken tasks in 35 s");
+        assert!(more <= 6, "seed {seed}: {more} machines rented meanwhile");
+        let running: usize = world.users.iter().take(8).map(|user| world.replicas(&user.spec.id)).sum();
+        assert_eq!(running, 8, "seed {seed}");
+        // Once mended, a job goes on; and cancelling one that is not works at once.
+        let at = world.now;
+        world.users.iter_mut().skip(8).take(4).for_each(|user| user.fails = false);
+        world.users.iter_mut().skip(12).take(4).for_each(|user| user.cancel_after = Some(0));
+        world.run_until(at + 8 * SEC);
+        assert!(world.users.iter().skip(12).take(4).all(|user| user.cancelled_at.is_some()), "seed {seed}");
+        world.run_until(at + 80 * SEC);
+        assert!(world.users.iter().skip(8).take(4).all(|user| user.done_at.is_some()), "seed {seed}");
+        assert_kept(&world, seed);
+    }
+}
+
 /// Seeds that once broke a rule.
 #[test]
 fn what_was_broken_once_stays_mended() {
--- a/tests/world/cloud.rs
+++ b/tests/world/cloud.rs
@@ -16,6 +16,8 @@
     pub full_until: u64,
     /// How many machines of a type there are in a zone: ordinary ones, and spot ones.
     pub stock: [usize; 2],
+    /// All machines boot in time and none is faulty.
+    pub sound: bool,
     pub rented: u64,
     pub deleted: u64,
 }
@@ -54,10 +56,11 @@
                     self.cloud.rented += 1;
                     machines.push(number);
                     self.cloud.there.insert(number, (kind.clone(), zone.clone(), *spot, self.now));
-                    let slow = self.rng.random_range(0..40) == 0;
+                    let sound = self.cloud.sound;
+                    let slow = self.rng.random_range(0..40) == 0 && !sound;
                     let boot = if slow { 10_000 * SEC } else { self.rng.random_range(SEC..7 * SEC) };
                     let mut worker = Worker::new(number, kind.clone(), zone.clone(), *spot, self.now + boot);
-                    worker.faulty = self.rng.random_range(0..25) == 0;
+                    worker.faulty = self.rng.random_range(0..25) == 0 && !sound;
                     self.workers.insert(number, worker);
                 }
                 self.cloud.done.insert(request.clone(), machines.clone());
