Record ends within the limits, and end a detour when the worker stays away

A detour now ends after two round trips. Ends take their turn, oldest first, as far as the limits go; a job that is done and waits for its turn is told as running.

--- a/src/coordination/detours.rs
+++ b/src/coordination/detours.rs
@@ -58,7 +58,7 @@
             return self.reply(ask, workers::elsewhere(None));
         }
         // A worker that is sent to the holder in vain must be back before its lease ends.
-        let trip = ANSWER_WAIT + NEXT_NODE + self.cfg.report.times(1.5);
+        let trip = self.round_trip();
         let lease = self.cfg.lease;
         let before = self.detours.get_mut(&report.machine).filter(|detour| detour.claim == claim);
         let send_there = match before {
@@ -85,9 +85,16 @@
         self.pass_on(ask, shard, PeerAsk::Report(report));
     }
 
+    /// How long a worker that is sent to the holder in vain takes to come back, at the most.
+    fn round_trip(&self) -> Span {
+        ANSWER_WAIT + NEXT_NODE + self.cfg.report.times(1.5)
+    }
+
     pub(super) fn detours_tick(&mut self) {
-        let now = self.now;
-        self.detours.retain(|_, detour| now.since(detour.last) < LONGEST_DETOUR.times(2.0));
+        // One that has not come back found the holder. If it ever comes again, that is a new cut, and
+        // it must not be sent there first: it would lose its lease on the way.
+        let (now, back) = (self.now, self.round_trip().times(2.0));
+        self.detours.retain(|_, detour| now.since(detour.last) < back);
         self.let_go_alone();
     }
 
--- a/src/coordination/ledger.rs
+++ b/src/coordination/ledger.rs
@@ -26,7 +26,21 @@
                 ready.push(id);
             }
         }
+        self.write_ends(shard_id, ready);
+    }
+
+    /// Records ends as far as the state service allows; the next round goes on. Without that, many
+    /// small jobs that end at once would have most of their writes refused, again and again, and
+    /// everything else along with them.
+    fn write_ends(&mut self, shard_id: ShardId, ready: Vec<JobId>) {
+        let now = self.now;
         for id in ready {
+            if !self.requests.take(now, 0.0) || !self.writes.take(now, 0.0) {
+                return;
+            }
+            if let Some(job) = self.shards.get_mut(&shard_id).and_then(|shard| shard.jobs.get_mut(&id)) {
+                job.last_write = now;
+            }
             self.write_end(shard_id, &id);
         }
     }
@@ -43,6 +57,7 @@
             return;
         }
         job.writing = true;
+        job.refused = false;
         let end = EndRecord { state, done: job.done.len() };
         let (live, key) = (records::live_key(id), records::end_key(id));
         let request = StateCall::Commit {
@@ -68,28 +83,27 @@
             let Some(shard) = self.shards.get_mut(&shard_id) else { continue };
             let (mut ends, mut dirty, mut rereads) = (Vec::new(), Vec::new(), Vec::new());
             for job in shard.jobs.values() {
-                if job.writing || now.since(job.last_write) < self.cfg.own.round {
+                // An end that has only waited for its turn need not wait for a round as well.
+                let recent = now.since(job.last_write) < self.cfg.own.round;
+                if job.writing || recent && (job.ending.is_none() || job.unsure || job.refused) {
                     continue;
                 }
                 let id = job.spec.id.clone();
                 if job.unsure {
                     rereads.push(id);
                 } else if job.ending.is_some() {
-                    ends.push(id);
+                    ends.push((&job.order, id));
                 } else if job.is_dirty() {
                     let held_back = job.pending.first().is_some_and(|next| next >= job.untouched);
                     dirty.push((!held_back, job.last_write, id));
                 }
             }
+            ends.sort();
+            let ends = ends.into_iter().map(|(_, id)| id).collect();
             for id in rereads {
                 self.reread(shard_id, &id);
             }
-            for id in ends {
-                if let Some(job) = self.shards.get_mut(&shard_id).and_then(|s| s.jobs.get_mut(&id)) {
-                    job.last_write = now;
-                }
-                self.write_end(shard_id, &id);
-            }
+            self.write_ends(shard_id, ends);
             dirty.sort();
             for (_, _, id) in dirty {
                 if !self.writes.take(now, 0.5) {
@@ -198,6 +212,7 @@
             }
             // Refused means not executed: the next round tries again.
             (JobWrite::Progress { .. } | JobWrite::End(_), Err(CallError::Refused { .. })) => {
+                job.refused = true;
                 if job.ending.is_some() {
                     let askers = std::mem::take(&mut job.cancel_askers);
                     for asker in askers {
--- a/src/coordination/shard.rs
+++ b/src/coordination/shard.rs
@@ -35,6 +35,8 @@
     pub writing: bool,
     /// What became of a write is not known; the record has to be read again.
     pub unsure: bool,
+    /// The last write of its record was refused, and so not executed.
+    pub refused: bool,
     /// Its user has asked to cancel it, or it is done: nothing is started any more.
     pub ending: Option<Final>,
     pub cancel_askers: Vec<super::Asker>,
@@ -358,6 +360,7 @@
             running: HashMap::new(),
             writing: false,
             unsure: false,
+            refused: false,
             ending: None,
             cancel_askers: Vec::new(),
             last_write: Time::ZERO,
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -41,12 +41,14 @@
 }
 
 fn live_view(job: &Job) -> Reply {
-    // While a record of its end is on the way, another node may have read that already.
-    if !job.is_live() {
+    // While a record of its end is on the way, another node may have read that already. One that is
+    // done but waits for its turn to be recorded is still told as running.
+    let may_be_read = job.unsure || job.ending.is_some() && job.writing;
+    if may_be_read || job.ending == Some(Final::Cancelled) {
         return Reply::busy("its record is being written");
     }
     let running = job.running.len() as u32;
-    let state = if running > 0 { JobState::Running } else { JobState::Queued };
+    let state = if running > 0 || job.ending.is_some() { JobState::Running } else { JobState::Queued };
     view(&job.spec.id, state, job.done.len(), running)
 }
 
--- a/tests/world/state.rs
+++ b/tests/world/state.rs
@@ -16,6 +16,8 @@
     pub refused_until: [u64; 3],
     writes: (u64, usize),
     pub most_writes: usize,
+    /// How many requests were refused for being over the limit.
+    pub over_limit: u64,
     /// How many single keys each node has read.
     pub reads: [u64; 3],
 }
@@ -74,6 +76,7 @@
         self.writes.1 += call.writes();
         self.most_writes = self.most_writes.max(self.writes.1);
         if self.writes.1 > 60 {
+            self.over_limit += 1;
             return Err(CallError::Refused { over_limit: true });
         }
         Ok(match call {
