Judge boots by what is seen: wait for late ones, replace missing ones in other zones

The newest boots are remembered by type and zone, in time or not. Where most are not, other zones are preferred. Where hardly any is in any zone, what is overdue is waited for and still counts as room; else it counts no more from 1.8 boot times and 5 s on and is deleted as before.

--- a/src/coordination/cloud.rs
+++ b/src/coordination/cloud.rs
@@ -38,6 +38,7 @@
     refused: HashMap<(Name, Name, bool), (Time, u32)>,
     pub planned_at: Time,
     pub purging: bool,
+    pub boots: super::boots::Boots,
 }
 
 impl Cloud {
@@ -54,6 +55,7 @@
             refused: HashMap::new(),
             planned_at: Time::ZERO,
             purging: false,
+            boots: Default::default(),
         }
     }
 
@@ -184,7 +186,8 @@
                         continue;
                     }
                     let (kind, zone) = (rental.kind.clone(), rental.zone.clone());
-                    let booting = Booting { kind, zone, spot: rental.spot, since: now, deleting: false };
+                    let booting =
+                        Booting { kind, zone, spot: rental.spot, since: now, overdue: false, deleting: false };
                     mine.booting.insert(machine.clone(), booting);
                 }
                 if (machines.len() as u32) < rental.count {
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -10,6 +10,9 @@
 /// The part of the time left that is planned with: estimates are often wrong.
 const USABLE: f64 = 0.85;
 
+/// What can be asked for: a type, a zone, and whether spot machines.
+type RentalKind = (Name, Name, bool);
+
 /// A machine as the count sees it: there, booting or still to come.
 pub(super) struct Bin {
     pub id: Option<MachineId>,
@@ -51,6 +54,7 @@
             self.cloud.planned_at = now;
             for id in ids {
                 self.retry_forgets(id);
+                self.judge_boots(id);
                 self.plan(id);
                 self.give_back(id);
             }
@@ -216,14 +220,7 @@
             let (kind, zone) = (machine.kind.clone(), machine.zone.clone());
             bins.push(Bin { id: Some(id.clone()), kind, zone, spot: machine.spot, room, used });
         }
-        let booting = shard.booting.values().filter(|machine| !machine.deleting);
-        let booting = booting.filter(|machine| {
-            // One that is overdue may never come.
-            self.cloud
-                .types
-                .get(&machine.kind)
-                .is_some_and(|k| now.since(machine.since) < k.boot.times(1.8) + Span::millis(5000))
-        });
+        let booting = shard.booting.values().filter(|machine| self.is_awaited(machine));
         let coming = booting.map(|m| (&m.kind, &m.zone, m.spot, 1));
         let coming = coming.chain(shard.taking.values().map(|(offer, _)| (&offer.kind, &offer.zone, offer.spot, 1)));
         let asked = shard.renting.values().map(|r| (&r.kind, &r.zone, r.spot, r.count));
@@ -240,8 +237,9 @@
     }
 
     /// The kind of machine that costs least per slot, if that many slots are wanted in all.
-    fn cheapest(&self, spec: &JobSpec, wanted: u32, bins: &[Bin]) -> Option<(Name, Name, bool)> {
-        let mut best: Option<(f64, usize, Name, Name, bool)> = None;
+    fn cheapest(&self, spec: &JobSpec, wanted: u32, bins: &[Bin]) -> Option<RentalKind> {
+        let now = self.now;
+        let mut best: Option<((bool, f64, usize), RentalKind)> = None;
         for kind in self.cloud.catalog.iter().flatten() {
             if !spec.allows_type(&kind.name) || !spec.needs.fits_in(&kind.room) {
                 continue;
@@ -262,18 +260,23 @@
                 let price = if spot { kind.spot_price } else { kind.price };
                 let cost = price * f64::from(machines) * stranded;
                 for zone in &kind.zones {
-                    if !spec.allows_zone(zone) || self.cloud.is_refused(&kind.name, zone, spot, self.now) {
+                    if !spec.allows_zone(zone) || self.cloud.is_refused(&kind.name, zone, spot, now) {
                         continue;
                     }
                     let there = bins.iter().filter(|bin| bin.zone == *zone).count();
-                    let better = best.as_ref().is_none_or(|(c, n, ..)| cost < *c - 1e-9 || (cost <= *c && there < *n));
+                    // What does not come in time is the last choice, however cheap.
+                    let bad = self.cloud.boots.is_bad(&kind.name, zone, now);
+                    let better = best.as_ref().is_none_or(|((b, c, n), _)| match bad == *b {
+                        true => cost < *c - 1e-9 || (cost <= *c && there < *n),
+                        false => *b,
+                    });
                     if better {
-                        best = Some((cost, there, kind.name.clone(), zone.clone(), spot));
+                        best = Some(((bad, cost, there), (kind.name.clone(), zone.clone(), spot)));
                     }
                 }
             }
         }
-        best.map(|(_, _, kind, zone, spot)| (kind, zone, spot))
+        best.map(|(_, kind)| kind)
     }
 }
 
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -3,6 +3,7 @@
 //! the same code in simulated time.
 
 mod binding;
+mod boots;
 mod cloud;
 mod detours;
 mod fleet;
--- a/src/coordination/returns.rs
+++ b/src/coordination/returns.rs
@@ -96,11 +96,8 @@
                 }
             }
             for (name, machine) in &mut shard.booting {
-                let Some(kind) = self.cloud.types.get(&machine.kind) else { continue };
                 let entry = self.cloud.listed.get(name);
-                let failed = entry.is_some_and(|entry| entry.state == MachineState::Failed);
-                let patience = kind.boot.times(2.5) + Span::millis(10_000);
-                machine.deleting |= failed || now.since(machine.since) > patience;
+                machine.deleting |= entry.is_some_and(|entry| entry.state == MachineState::Failed);
             }
             for name in vanished {
                 log::info!("machine {name} is gone");
--- a/src/coordination/shard.rs
+++ b/src/coordination/shard.rs
@@ -210,6 +210,8 @@
     pub zone: Name,
     pub spot: bool,
     pub since: Time,
+    /// It is not up though it should be.
+    pub overdue: bool,
     pub deleting: bool,
 }
 
--- a/src/coordination/workers.rs
+++ b/src/coordination/workers.rs
@@ -107,7 +107,11 @@
             Ok(StateAnswer::Committed(version)) => {
                 let record = record_of(&report, shard);
                 log::info!("machine {} ({}, {}) joins shard {shard}", report.machine, record.kind, record.zone);
+                let in_time = mine.booting.get(&report.machine).is_some_and(|booting| !booting.overdue);
                 mine.add_machine(report.machine.clone(), &record, report.addr, version, now);
+                if in_time {
+                    self.cloud.boots.note(&record.kind, &record.zone, true, now);
+                }
                 self.machine_homes.insert(report.machine.clone(), shard);
                 self.reported(ask, report);
             }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -451,6 +451,40 @@
     }
 }
 
+/// A fleet for one large job while machines boot oddly: when the job was done, and how many machines
+/// were rented for it.
+fn served_with_boots(seed: u64, boots: [Option<f64>; 2]) -> (Option<u64>, u64) {
+    let mut world = World::with_one_shard(seed, [30, 30]);
+    world.cloud.sound = true;
+    world.cloud.boots = Some(boots);
+    let mut job = spec(1, JobKind::Array, "free", 120, 2.0);
+    (job.spot, job.estimate_s) = (true, 20.0);
+    world.add_user(job, 20 * SEC, 2 * SEC, None, false);
+    world.run_until(240 * SEC);
+    assert_kept(&world, seed);
+    (world.users[0].done_at.map(|at| at / SEC), world.cloud.rented)
+}
+
+/// Machines that came late were given up shortly before they came, and rented again, again and again;
+/// where none comes at all, other zones are asked; and some are up before the cloud lists them.
+#[test]
+fn machines_that_boot_late_or_never_or_at_once_are_coped_with() {
+    for seed in 60..63 {
+        let (usual, some) = served_with_boots(seed, [Some(1.0), Some(1.0)]);
+        let (late, more) = served_with_boots(seed, [Some(8.0), Some(8.0)]);
+        assert!(late.is_some_and(|at| at < 120), "seed {seed}: late boots: done at {late:?}, usually at {usual:?}");
+        assert!(2 * more <= 3 * some, "seed {seed}: {more} machines rented when all are late, {some} usually");
+        let (never, more) = served_with_boots(seed, [None, Some(1.0)]);
+        assert!(never.is_some_and(|at| at < 100), "seed {seed}: no boots in one zone: done at {never:?}");
+        assert!(
+            5 * more <= 7 * some,
+            "seed {seed}: {more} machines rented when none comes in one zone, {some} usually"
+        );
+        let (at_once, _) = served_with_boots(seed, [Some(0.05), Some(0.05)]);
+        assert!(at_once <= usual, "seed {seed}: instant boots: done at {at_once:?}, usually at {usual:?}");
+    }
+}
+
 /// Hundreds of small jobs that end together had most of their ends refused, again and again, and
 /// submissions, polls and renewals along with them.
 #[test]
--- a/tests/world/cloud.rs
+++ b/tests/world/cloud.rs
@@ -18,6 +18,8 @@
     pub stock: [usize; 2],
     /// All machines boot in time and none is faulty.
     pub sound: bool,
+    /// How much longer than usual machines take to boot in each zone; nothing: they never come.
+    pub boots: Option<[Option<f64>; 2]>,
     pub rented: u64,
     pub deleted: u64,
 }
@@ -58,7 +60,15 @@
                     self.cloud.there.insert(number, (kind.clone(), zone.clone(), *spot, self.now));
                     let sound = self.cloud.sound;
                     let slow = self.rng.random_range(0..40) == 0 && !sound;
-                    let boot = if slow { 10_000 * SEC } else { self.rng.random_range(SEC..7 * SEC) };
+                    let usual = self.rng.random_range(SEC..7 * SEC);
+                    let factor = match self.cloud.boots {
+                        Some(zones) => zones[usize::from(zone.as_str() == "west")],
+                        None => Some(1.0),
+                    };
+                    let boot = match factor.filter(|_| !slow) {
+                        Some(factor) => (usual as f64 * factor) as u64,
+                        None => 10_000 * SEC,
+                    };
                     let mut worker = Worker::new(number, kind.clone(), zone.clone(), *spot, self.now + boot);
                     worker.faulty = self.rng.random_range(0..25) == 0 && !sound;
                     self.workers.insert(number, worker);
