--- a/src/bookkeeping/budget.rs
+++ b/src/bookkeeping/budget.rs
@@ -34,6 +34,12 @@
         enough
     }
 
+    /// Whether what goes before other things may still be taken, on credit of one burst.
+    pub fn has_credit(&mut self, now: Time) -> bool {
+        self.fill(now);
+        self.level > -self.burst
+    }
+
     /// Takes `count` even on credit, for what must not wait; what can wait pays it back.
     pub fn force(&mut self, now: Time, count: f64) {
         self.fill(now);
--- a/src/coordination/ledger.rs
+++ b/src/coordination/ledger.rs
@@ -29,13 +29,14 @@
         self.write_ends(shard_id, ready);
     }
 
-    /// Records ends as far as the state service allows; the next round goes on. Without that, many
+    /// Records ends as far as the state service allows, before any progress; the next round goes on.
+    /// Without that, many
     /// small jobs that end at once would have most of their writes refused, again and again, and
     /// everything else along with them.
     fn write_ends(&mut self, shard_id: ShardId, ready: Vec<JobId>) {
         let now = self.now;
         for id in ready {
-            if !self.requests.take(now, 0.0) || !self.writes.take(now, 0.0) {
+            if !self.requests.has_credit(now) || !self.writes.has_credit(now) {
                 return;
             }
             if let Some(job) = self.shards.get_mut(&shard_id).and_then(|shard| shard.jobs.get_mut(&id)) {
