--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -118,6 +118,8 @@
     pub workers: BTreeMap<u32, workers::Worker>,
     pub users: Vec<users::User>,
     pub cuts: Vec<Cut>,
+    /// Users ask eight times as often.
+    pub storm_until: u64,
     pub broken: Vec<String>,
     pub trace: Vec<String>,
     pub starts: u64,
@@ -209,6 +211,7 @@
             workers: BTreeMap::new(),
             users: Vec::new(),
             cuts: Vec::new(),
+            storm_until: 0,
             broken: Vec::new(),
             trace: Vec::new(),
             starts: 0,
