Let work in no hurry wait for cheap machines

Cause: when spot machines are used up, a guest's scan without any aim, guarantee or deadline had ordinary ones rented, at three times the price. It now takes what is idle and what is cheap; with nothing of it running for 5 minutes it gets others after all.

--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -9,6 +9,8 @@
 const PLAN_PAUSE: Span = Span::millis(1_000);
 /// The part of the time left that is planned with: estimates are often wrong.
 const USABLE: f64 = 0.85;
+/// How long work that is in no hurry waits for cheap machines before dear ones are rented for it.
+const LONG_WAIT: Span = Span::millis(300_000);
 
 /// What can be asked for: a type, a zone, and whether spot machines.
 type RentalKind = (Name, Name, bool);
@@ -34,6 +36,8 @@
     pub per_new_slot: u32,
     /// Machines that its tasks are kept away from: they do not count as room for it.
     pub avoids: Vec<MachineId>,
+    /// It waits for cheap machines rather than have dear ones rented.
+    pub unhurried: bool,
 }
 
 impl Controller {
@@ -87,7 +91,7 @@
             if left == 0 {
                 continue;
             }
-            let Some((kind, zone, spot)) = self.cheapest(&demand.spec, ahead, &bins) else { continue };
+            let Some((kind, zone, spot)) = self.cheapest(&demand, ahead, &bins) else { continue };
             let Some(of_kind) = self.cloud.types.get(&kind) else { continue };
             let per_machine = of_kind.room.slots(&demand.spec.needs).max(1) * demand.per_new_slot;
             let count = left.div_ceil(per_machine);
@@ -172,7 +176,8 @@
             if count > 0 {
                 let avoids = job.failed_on.iter().map(|(id, _)| id.clone()).filter(|id| job.avoids(id, self.now));
                 let avoids = avoids.collect();
-                demands.push(Demand { spec: job.spec.clone(), count, per_slot, per_new_slot, avoids });
+                let unhurried = self.is_unhurried(job);
+                demands.push(Demand { spec: job.spec.clone(), count, per_slot, per_new_slot, avoids, unhurried });
             }
         }
         if let Some(job) = newest {
@@ -180,7 +185,9 @@
             let at = demands.iter().take_while(|d| d.spec.kind == JobKind::Service).count();
             if spare > 0 {
                 let spec = job.spec.clone();
-                demands.insert(at, Demand { spec, count: spare, per_slot: 1, per_new_slot: 1, avoids: Vec::new() });
+                let avoids = Vec::new();
+                let more = Demand { spec, count: spare, per_slot: 1, per_new_slot: 1, avoids, unhurried: false };
+                demands.insert(at, more);
             }
         }
         demands
@@ -236,8 +243,25 @@
         bins
     }
 
+    /// Work of the least priority that nobody expects by a certain time, of a team without a guarantee.
+    /// It takes what is idle, and waits for cheap machines rather than have dear ones rented; but not
+    /// for ever, where there are none.
+    fn is_unhurried(&self, job: &super::shard::Job) -> bool {
+        let spec = &job.spec;
+        if job.running.is_empty() && self.now.since(job.waiting_since) > LONG_WAIT {
+            return false;
+        }
+        let guaranteed = self.cfg.teams.get(&spec.team).is_some_and(|limits| limits.cpus > Amount(0));
+        spec.kind == JobKind::Array
+            && spec.priority == Priority::BestEffort
+            && spec.deadline_s.is_none()
+            && !guaranteed
+            && !self.cfg.finish_within.contains_key(&spec.class)
+    }
+
     /// The kind of machine that costs least per slot, if that many slots are wanted in all.
-    fn cheapest(&self, spec: &JobSpec, wanted: u32, bins: &[Bin]) -> Option<RentalKind> {
+    fn cheapest(&self, demand: &Demand, wanted: u32, bins: &[Bin]) -> Option<RentalKind> {
+        let spec = &demand.spec;
         let now = self.now;
         let mut best: Option<((bool, f64, usize), RentalKind)> = None;
         for kind in self.cloud.catalog.iter().flatten() {
@@ -254,7 +278,7 @@
                 JobKind::Array => 1.0,
             };
             for spot in [false, true] {
-                if spot && !spec.spot {
+                if spot && !spec.spot || !spot && spec.spot && demand.unhurried {
                     continue;
                 }
                 let price = if spot { kind.spot_price } else { kind.price };
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -504,6 +504,37 @@
     }
 }
 
+/// A guest's scan without any aim had ordinary machines rented when there were no spot ones left.
+#[test]
+fn work_in_no_hurry_waits_for_cheap_machines() {
+    let mut world = World::with_one_shard(70, [20, 1]);
+    world.cloud.sound = true;
+    let mut scan = spec(1, JobKind::Array, "free", 60, 2.0);
+    (scan.class, scan.priority, scan.spot) = (Name::new("scan"), Priority::BestEffort, true);
+    world.add_user(scan, 400 * SEC, 3 * SEC, None, false);
+    // One with an aim gets what it needs.
+    world.add_user(spec(2, JobKind::Array, "free", 4, 2.0), 400 * SEC, 4 * SEC, None, false);
+    world.run_until(60 * SEC);
+    assert_kept(&world, 70);
+    let dear = world.workers.values().filter(|worker| !worker.spot).count();
+    assert!((1..=4).contains(&dear), "{dear} ordinary machines were rented");
+}
+
+/// Without any cheap machine it gets others in the end.
+#[test]
+fn work_in_no_hurry_is_started_in_the_end() {
+    let mut world = World::with_one_shard(71, [20, 0]);
+    world.cloud.sound = true;
+    let mut job = spec(1, JobKind::Array, "free", 6, 2.0);
+    (job.class, job.priority, job.spot) = (Name::new("scan"), Priority::BestEffort, true);
+    world.add_user(job, 5 * SEC, 2 * SEC, None, false);
+    world.run_until(250 * SEC);
+    assert_eq!(world.cloud.rented, 0, "ordinary machines were rented at once");
+    world.run_until(400 * SEC);
+    assert_kept(&world, 71);
+    assert!(world.users[0].done_at.is_some(), "it was never started");
+}
+
 /// Hundreds of small jobs that end together had most of their ends refused, again and again, and
 /// submissions, polls and renewals along with them.
 #[test]
