Let teams without limits share what is idle: of unhurried work, who uses least goes first

The team that came first kept all that was idle until its work was done: 785 tasks to 0 in 40 s in the simulated world. Work that nobody expects by a certain time and that is above its team's guarantee is now ordered by what the team uses.

--- a/src/coordination/binding.rs
+++ b/src/coordination/binding.rs
@@ -119,11 +119,13 @@
                 });
                 // What can still be in time goes before what can't, the most pressing first.
                 let left = job.left_ms(market.cfg, market.day_ms);
-                Some((job.spec.priority, !within, left, &job.order))
+                // Of what nobody expects by a certain time, the team that uses least goes first.
+                let share = if left == u64::MAX && !within { used.cpus } else { Amount(0) };
+                Some((job.spec.priority, !within, left, share, &job.order))
             })
             .collect();
         line.sort();
-        line.into_iter().map(|(_, over, _, (_, id))| (!over, id.clone())).collect()
+        line.into_iter().map(|(_, over, _, _, (_, id))| (!over, id.clone())).collect()
     }
 
     /// How well a machine suits a replica; the least is the best. One that has its image comes
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -520,6 +520,25 @@
     assert!((1..=4).contains(&dear), "{dear} ordinary machines were rented");
 }
 
+/// Who came first once kept all that was idle until its work was done.
+#[test]
+fn teams_without_limits_share_what_is_idle() {
+    let mut world = World::with_one_shard(72, [2, 2]);
+    world.cloud.sound = true;
+    for (id, team, at) in [(1, "free", 2), (2, "guest", 20)] {
+        let mut job = spec(id, JobKind::Array, team, 2000, 1.0);
+        (job.class, job.priority, job.spot) = (Name::new("scan"), Priority::BestEffort, true);
+        world.add_user(job, 3 * SEC, at * SEC, None, false);
+    }
+    let done = |world: &World, job: &str| world.completed.iter().filter(|(id, _)| id == job).count();
+    world.run_until(40 * SEC);
+    let before = (done(&world, "wk-000001"), done(&world, "wk-000002"));
+    world.run_until(80 * SEC);
+    assert_kept(&world, 72);
+    let (first, second) = (done(&world, "wk-000001") - before.0, done(&world, "wk-000002") - before.1);
+    assert!(first > 50 && 2 * second > first && 2 * first > second, "{first} and {second} tasks in 40 s");
+}
+
 /// Without any cheap machine it gets others in the end.
 #[test]
 fn work_in_no_hurry_is_started_in_the_end() {
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -149,6 +149,8 @@
 gpus_max = 0.0
 [[facts.teams]]
 name = "free"
+[[facts.teams]]
+name = "guest"
 [[facts.objectives]]
 kind = "finished"
 class = "batch"
