Say once when a peer is heard and when a machine has lost everything; drop what nobody reads

A read of the whole change. Whether a peer was heard of lately was written in six places with the same 1.5 s; that nothing is left on a machine in two; the label of a holder was looked up twice. The line's entries carried a flag that nobody reads. The history of boots is looked at only for machines that are overdue, not for every one that boots.

--- a/src/coordination/binding.rs
+++ b/src/coordination/binding.rs
@@ -86,11 +86,11 @@
 
     /// The jobs with something to start, from the queue's front. The order is kept for a moment,
     /// so that a report does not cost a look at every job; a job that is new in it makes it anew.
-    pub fn queue(&mut self, market: &Market) -> Arc<[(bool, JobId)]> {
+    pub fn queue(&mut self, market: &Market) -> Arc<[JobId]> {
         if self.line.made.is_none_or(|made| market.now.since(made) >= LINE_AGE) {
             self.step(self.jobs.len());
             let jobs = self.in_order(market);
-            let needs = jobs.iter().filter_map(|(_, id)| self.jobs.get(id)).map(|job| job.spec.needs);
+            let needs = jobs.iter().filter_map(|id| self.jobs.get(id)).map(|job| job.spec.needs);
             let least = needs.reduce(|least, needs| Resources {
                 cpus: least.cpus.min(needs.cpus),
                 gpus: least.gpus.min(needs.gpus),
@@ -101,7 +101,7 @@
         self.line.jobs.clone()
     }
 
-    fn in_order(&self, market: &Market) -> Vec<(bool, JobId)> {
+    fn in_order(&self, market: &Market) -> Vec<JobId> {
         let mut usage: HashMap<&Name, Resources> = HashMap::new();
         let mut line: Vec<_> = self
             .jobs
@@ -125,7 +125,7 @@
             })
             .collect();
         line.sort();
-        line.into_iter().map(|(_, over, _, _, (_, id))| (!over, id.clone())).collect()
+        line.into_iter().map(|(.., (_, id))| id.clone()).collect()
     }
 
     /// How well a machine suits a replica; the least is the best. One that has its image comes
@@ -134,14 +134,14 @@
     /// the same job, which a single failure would take along, and one that has other replicas.
     fn place_for(&self, job: &Job, machine: &Machine, room: &Resources) -> Place {
         let runs = |attempt: &&Attempt| !attempt.is_over() && attempt.stop.is_none();
-        let mut replicas = machine.attempts.values().filter(runs).filter(|attempt| {
+        let replicas = machine.attempts.values().filter(runs).filter(|attempt| {
             self.jobs.get(&attempt.task.job).is_some_and(|other| other.spec.kind == JobKind::Service)
         });
         let (mut any, mut own) = (false, false);
-        replicas.by_ref().for_each(|attempt| {
+        for attempt in replicas {
             any = true;
             own |= attempt.task.job == job.spec.id;
-        });
+        }
         (!machine.has_image(&job.spec.image), room.cpus, own, !any)
     }
 
@@ -187,11 +187,11 @@
         let queue: Vec<JobId> = self
             .queue(market)
             .iter()
-            .filter(|(_, id)| {
+            .filter(|id| {
                 let job = self.jobs.get(id).filter(|job| job.next_task(now).is_some());
                 job.is_some_and(|job| job.spec.priority < least_urgent)
             })
-            .map(|(_, id)| id.clone())
+            .cloned()
             .collect();
         if queue.is_empty() {
             return picked;
@@ -297,7 +297,7 @@
         let (zone, spot, sent_in) = (machine.zone.clone(), machine.spot, machine.last);
         let mut passed_over: Vec<JobId> = Vec::new();
         let queue = self.queue(market);
-        for (_, job_id) in queue.iter() {
+        for job_id in queue.iter() {
             if commands.len() >= most || !self.line.least.fits_in(&room) {
                 break;
             }
--- a/src/coordination/boots.rs
+++ b/src/coordination/boots.rs
@@ -72,7 +72,8 @@
                 machine.overdue = true;
                 self.cloud.boots.note(&machine.kind, &machine.zone, false, now);
             }
-            machine.deleting |= age > patience(kind, self.cloud.boots.all_late(kind, now));
+            // Nobody is waited for less than until overdue, so the others need no look at the history.
+            machine.deleting |= machine.overdue && age > patience(kind, self.cloud.boots.all_late(kind, now));
         }
     }
 
@@ -80,8 +81,10 @@
     /// replaced elsewhere; but not where everything is late, or the fleet would run away.
     pub(super) fn is_awaited(&self, machine: &super::shard::Booting) -> bool {
         let Some(kind) = self.cloud.types.get(&machine.kind) else { return false };
-        let all_late = self.cloud.boots.all_late(kind, self.now);
-        let waited = self.now.since(machine.since);
-        !machine.deleting && (!machine.overdue || all_late && waited < kind.boot.times(5.0) + Span::millis(10_000))
+        let in_hope = || {
+            self.now.since(machine.since) < kind.boot.times(5.0) + Span::millis(10_000)
+                && self.cloud.boots.all_late(kind, self.now)
+        };
+        !machine.deleting && (!machine.overdue || in_hope())
     }
 }
--- a/src/coordination/cloud.rs
+++ b/src/coordination/cloud.rs
@@ -258,10 +258,7 @@
             shard.booting.remove(&machine);
             if shard.machines.contains_key(&machine) {
                 // The cloud has confirmed it: the machine and all that ran there are gone.
-                shard.lose(&machine, |_, _| true, now);
-                if let Some(machine) = shard.machines.get_mut(&machine) {
-                    machine.proven = true;
-                }
+                shard.lose_all(&machine, now);
                 self.forget_machine(id, &machine);
             }
         }
--- a/src/coordination/detours.rs
+++ b/src/coordination/detours.rs
@@ -10,8 +10,6 @@
 const LONGEST_DETOUR: Span = Span::millis(80_000);
 /// After how long without any report and any other node a shard is let go: this many reports.
 const ALONE_REPORTS: f64 = 3.0;
-/// A peer that has been silent for so long is not reached.
-const SILENT: Span = Span::millis(1500);
 
 /// A worker whose reports are passed on to the holder.
 pub(super) struct Detour {
@@ -49,9 +47,9 @@
         };
         let was_there = claim.0 > 0 && report.token.0 >= claim.0;
         let holder = self.holder_of(shard).filter(|node| **node != self.cfg.label);
+        let there = workers::elsewhere(holder.map(|node| node.as_str()));
         if !was_there || holder.is_none() {
-            let reply = workers::elsewhere(holder.map(|node| node.as_str()));
-            return self.reply(ask, reply);
+            return self.reply(ask, there);
         }
         if self.live_holder(shard).is_none() {
             // Reached neither by the worker nor from here. Perhaps another node does better.
@@ -79,8 +77,7 @@
             }
         };
         if send_there {
-            let reply = workers::elsewhere(holder_label(&self.views, shard));
-            return self.reply(ask, reply);
+            return self.reply(ask, there);
         }
         self.pass_on(ask, shard, PeerAsk::Report(report));
     }
@@ -105,15 +102,14 @@
     fn let_go_alone(&mut self) {
         let now = self.now;
         let patience = self.cfg.report.times(ALONE_REPORTS).max(self.cfg.lease.times(0.5));
-        if self.cfg.peers.is_empty() || self.peers.values().any(|peer| now.since(peer.seen) < SILENT) {
+        if self.cfg.peers.is_empty() || self.peers.values().any(|peer| peer.is_heard(now)) {
             return;
         }
         let deaf = |shard: &&Shard| {
             let heard = shard.machines.values().map(|machine| machine.seen).max();
-            shard.active && heard.is_some_and(|heard| now.since(heard) >= patience)
+            shard.active && heard.is_some_and(|heard| now.since(heard) >= patience) && !self.claiming(shard.id)
         };
         let alone: Vec<ShardId> = self.shards.values().filter(deaf).map(|shard| shard.id).collect();
-        let alone: Vec<ShardId> = alone.into_iter().filter(|shard| !self.claiming(*shard)).collect();
         if alone.is_empty() || !self.entitled() {
             return;
         }
@@ -129,7 +125,3 @@
         self.reluctance.as_ref().is_some_and(|reluctance| self.now < reluctance.until)
     }
 }
-
-fn holder_label(views: &[ShardView], shard: ShardId) -> Option<&str> {
-    views.get(shard.0 as usize)?.holder.as_ref().map(|node| node.as_str())
-}
--- a/src/coordination/ledger.rs
+++ b/src/coordination/ledger.rs
@@ -30,9 +30,8 @@
     }
 
     /// Records ends as far as the state service allows, before any progress; the next round goes on.
-    /// Without that, many
-    /// small jobs that end at once would have most of their writes refused, again and again, and
-    /// everything else along with them.
+    /// Without that, many small jobs that end at once would have most of their writes refused, again
+    /// and again, and everything else along with them.
     fn write_ends(&mut self, shard_id: ShardId, ready: Vec<JobId>) {
         let now = self.now;
         for id in ready {
--- a/src/coordination/members.rs
+++ b/src/coordination/members.rs
@@ -7,8 +7,6 @@
 use crate::protocol::state::{Change, Entry};
 
 const BEAT: Span = Span::millis(400);
-/// A node that has been silent for so long is not waited for.
-const SILENT: Span = Span::millis(1500);
 /// How long a home node has to be ready before it gets its shard back.
 const SETTLED: Span = Span::millis(800);
 /// How long a shard that nobody has held yet is left to its home node.
@@ -181,8 +179,7 @@
         let rank = (self.cfg.me.0 + nodes - id.0 % nodes) % nodes;
         if rank > 0 {
             let home = self.home_of(id).clone();
-            let home_alive =
-                self.peers.get(&home).is_some_and(|peer| peer.ready_since.is_some() && now.since(peer.seen) < SILENT);
+            let home_alive = self.peers.get(&home).is_some_and(|peer| peer.ready_since.is_some() && peer.is_heard(now));
             let burden = Span::millis(300 * (rank as u64 - 1 + 2 * self.shards.len().saturating_sub(1) as u64));
             let wait = match (home_alive, ever_held) {
                 (true, _) => Span::millis(1500) + burden,
@@ -348,7 +345,7 @@
         }
         self.reluctance = None;
         let since = match self.peers.get(&from) {
-            Some(peer) if ready && now.since(peer.seen) < SILENT => peer.ready_since.or(Some(now)),
+            Some(peer) if ready && peer.is_heard(now) => peer.ready_since.or(Some(now)),
             _ => ready.then_some(now),
         };
         let view = PeerView { seen: now, ready_since: since, entitled, held, spare };
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -94,6 +94,13 @@
     spare: Vec<crate::protocol::peers::Offer>,
 }
 
+impl PeerView {
+    /// It was heard of lately.
+    fn is_heard(&self, now: Time) -> bool {
+        now.since(self.seen) < SILENT
+    }
+}
+
 /// Who holds a shard, as last read from the state service or heard.
 #[derive(Clone, Default)]
 struct ShardView {
@@ -288,6 +295,8 @@
 /// can then still accept it in time.
 const FORWARD_TIMEOUT: Span = Span::millis(1500);
 const SUBMIT_TIMEOUT: Span = Span::millis(500);
+/// A node that has been silent for so long is not waited for.
+const SILENT: Span = Span::millis(1500);
 
 impl Controller {
     pub fn new(cfg: Settings, life: u64, clock: Clock) -> Controller {
@@ -462,7 +471,7 @@
     /// staying in the load balancer's list saves its pause afterwards; if others are entitled
     /// and this one is not, users are better off with them.
     fn useful(&self) -> bool {
-        let others = self.peers.values().any(|peer| peer.entitled && self.now.since(peer.seen) < Span::millis(1500));
+        let others = self.peers.values().any(|peer| peer.entitled && peer.is_heard(self.now));
         self.cloud.catalog.is_some() && (self.entitled() || (self.hold.is_some() && !others))
     }
 
--- a/src/coordination/moves.rs
+++ b/src/coordination/moves.rs
@@ -12,7 +12,7 @@
     pub(super) fn take_offers(&mut self, id: ShardId, demand: &Demand, bins: &mut Vec<Bin>) -> u32 {
         let now = self.now;
         let mut left = demand.count;
-        let theirs = self.peers.values().filter(|peer| now.since(peer.seen) < Span::millis(1500));
+        let theirs = self.peers.values().filter(|peer| peer.is_heard(now));
         let mut offers: Vec<Offer> = theirs.flat_map(|peer| peer.spare.iter().cloned()).collect();
         let others = self.shards.values().filter(|shard| shard.id != id && shard.active);
         offers.extend(others.flat_map(|shard| shard.offers(now)));
--- a/src/coordination/shard.rs
+++ b/src/coordination/shard.rs
@@ -249,7 +249,7 @@
 /// The queue as it was last put in order: making it anew takes a look at every job.
 #[derive(Default)]
 pub(super) struct Line {
-    pub jobs: Arc<[(bool, JobId)]>,
+    pub jobs: Arc<[JobId]>,
     /// The least that any of them needs.
     pub least: Resources,
     pub made: Option<Time>,
@@ -598,6 +598,14 @@
         }
     }
 
+    /// Nothing that was ever started on the machine is there any more.
+    pub fn lose_all(&mut self, machine_id: &MachineId, now: Time) {
+        self.lose(machine_id, |_, _| true, now);
+        if let Some(machine) = self.machines.get_mut(machine_id) {
+            machine.proven = true;
+        }
+    }
+
     /// Reads a newer report of a proven machine into the books.
     pub fn read_report(&mut self, report: &Report, now: Time) {
         let id = &report.machine;
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -168,7 +168,7 @@
     pub(super) fn live_holder(&self, shard: ShardId) -> Option<NodeLabel> {
         let holder = self.holder_of(shard)?;
         let peer = self.peers.get(holder)?;
-        (self.now.since(peer.seen) < Span::millis(1500)).then(|| holder.clone())
+        peer.is_heard(self.now).then(|| holder.clone())
     }
 
     pub(super) fn poll(&mut self, asker: Asker, job: JobId) {
--- a/src/coordination/workers.rs
+++ b/src/coordination/workers.rs
@@ -350,10 +350,7 @@
                 .collect();
             for machine_id in &dead {
                 log::warn!("machine {machine_id}: its lease has run out");
-                shard.lose(machine_id, |_, _| true, now);
-                if let Some(machine) = shard.machines.get_mut(machine_id) {
-                    machine.proven = true;
-                }
+                shard.lose_all(machine_id, now);
             }
             shard.settle_unlocated();
             if !may_renew {
