Make the repository a workspace; move the shared vocabulary to crates/model

Need: new subsystems are packages of their own and share ids, amounts and times with the controller.

Change: model.rs and time.rs move unchanged to crates/model and are re-exported; the root package stays the controller, so deploy/service.toml is as before.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,8 +4,8 @@
 pub mod bookkeeping;
 pub mod config;
 pub mod coordination;
-pub mod model;
 pub mod protocol;
 pub mod service;
-pub mod time;
 pub mod transport;
+
+pub use crowstall_model::{model, time};
