Forecast run times and finish times in the controller, behind forecast.enabled

Need: users want to know when their work will be done; what was learned must outlive the holder.

Change: attempts that are over are told to the learner, with silent time, unknown starts and kept results told apart from completions; saved progress adds up. Every second each array gets a finish time and, if it changes materially, a promise that is judged at its end. Users ask GET /v1/jobs/{id}/forecast on any node.

--- a/crates/forecast/src/cell.rs
+++ b/crates/forecast/src/cell.rs
@@ -109,7 +109,7 @@
         self.y + slope * (estimate - self.x)
     }
 
-    fn fade(&mut self, now: Time, half_life: Span) {
+    pub fn fade(&mut self, now: Time, half_life: Span) {
         let age = now.since(self.last);
         self.last = self.last.max(now);
         // Too little to be worth the work.
--- a/crates/forecast/src/snapshot.rs
+++ b/crates/forecast/src/snapshot.rs
@@ -81,8 +81,6 @@
     completed: u64,
     events: Vec<(i16, u16)>,
     cuts: Vec<(i16, u16)>,
-    /// How old its newest evidence was when this was written, in seconds.
-    age_s: u32,
 }
 
 /// What a snapshot holds, checked and unpacked.
@@ -131,7 +129,7 @@
     let body = Body {
         origins: learner.origins.clone(),
         stretch: learner.calibration.stretch.iter().map(|s| (s.low as f32, s.high as f32)).collect(),
-        cells: cells.iter().map(|(key, cell)| wire_cell(key, cell, now)).collect(),
+        cells: cells.iter().map(|(key, cell)| wire_cell(key, cell, now, learner.limits.half_life)).collect(),
     };
     let mut plain = Vec::new();
     let mut packed = DeflateEncoder::new(Vec::new(), Compression::best());
@@ -145,7 +143,10 @@
     BASE64.encode(bytes)
 }
 
-fn wire_cell(key: &Key, cell: &Cell, now: Time) -> WireCell {
+/// A cell as it counts by now: the reader's clock is another one.
+fn wire_cell(key: &Key, cell: &Cell, now: Time, half_life: Span) -> WireCell {
+    let mut cell = cell.clone();
+    cell.fade(now, half_life);
     let centroids = |list: &[Centroid]| -> Vec<(i16, u16)> {
         let pairs = list.iter().map(|c| ((c.mean * VALUE) as i16, (c.weight * WEIGHT).min(65_535.0) as u16));
         pairs.filter(|(_, weight)| *weight > 0).collect()
@@ -168,7 +169,6 @@
         completed: cell.completed,
         events: centroids(&cell.shape.events),
         cuts: centroids(&cell.shape.cuts),
-        age_s: now.since(cell.last).as_secs() as u32,
     }
 }
 
@@ -254,6 +254,6 @@
         within: Mean { sum: number(8), weight: number(9) },
         completed: wire.completed,
         shape: Sample { events: centroids(&wire.events), cuts: centroids(&wire.cuts) },
-        last: now - Span::secs(f64::from(wire.age_s)),
+        last: now,
     }
 }
--- a/src/bookkeeping/budget.rs
+++ b/src/bookkeeping/budget.rs
@@ -40,6 +40,12 @@
         self.level > -self.burst
     }
 
+    /// Whether so much of a burst is there that what can wait may be sent without being in anybody's way.
+    pub fn has_spare(&mut self, now: Time, share: f64) -> bool {
+        self.fill(now);
+        self.level >= self.burst * share
+    }
+
     /// Takes `count` even on credit, for what must not wait; what can wait pays it back.
     pub fn force(&mut self, now: Time, count: f64) {
         self.fill(now);
--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -5,6 +5,7 @@
 //! single transaction, so that a reader that asks for `live` first and `end` second sees it.
 //! `machine/NAME` says which shard a machine belongs to. `shard/new/N/JOB` tells the holder of shard N
 //! of a job that another node accepted for it; it sorts after all shards and is read along with them.
+//! `forecast/N` is what the holders of shard N have learned of run times: nothing depends on it.
 
 use crate::model::{Final, JobId, JobSpec, MachineId, Name, NodeLabel, ShardId};
 use serde::{Deserialize, Serialize};
@@ -13,6 +14,7 @@
 const NOTES: &str = "shard/new/";
 pub const LIVE: &str = "live/";
 pub const MACHINES: &str = "machine/";
+pub const FORECASTS: &str = "forecast/";
 
 pub fn shard_key(shard: ShardId) -> String {
     format!("{SHARDS}{shard}")
@@ -37,6 +39,11 @@
     format!("end/{job}")
 }
 
+/// Where what was learned in a shard is kept.
+pub fn forecast_key(shard: ShardId) -> String {
+    format!("{FORECASTS}{shard}")
+}
+
 pub fn machine_key(machine: &MachineId) -> String {
     format!("{MACHINES}{machine}")
 }
@@ -71,6 +78,12 @@
     pub done: u32,
 }
 
+/// A snapshot of what was learned, as `crowstall_forecast::snapshot` writes it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ForecastRecord {
+    pub snapshot: String,
+}
+
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct MachineRecord {
     pub shard: ShardId,
--- a/src/config.rs
+++ b/src/config.rs
@@ -171,6 +171,36 @@
     pub team_shards: u32,
     /// How many of the newest ended jobs are kept in memory.
     pub ended_kept: usize,
+    pub forecast: ForecastProperties,
+}
+
+/// Learning run times and promising finish times.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ForecastProperties {
+    pub enabled: bool,
+    /// Whether queue and fleet go by what was learned.
+    pub plans: bool,
+    /// How often what was learned is saved at most.
+    pub snapshot: Span,
+    /// How much memory it may take, in bytes.
+    pub memory: usize,
+    /// After how long without news it counts half.
+    pub half_life: Span,
+    /// Classes whose past is not believed any more.
+    pub forget: Vec<Name>,
+}
+
+impl Default for ForecastProperties {
+    fn default() -> ForecastProperties {
+        ForecastProperties {
+            enabled: false,
+            plans: false,
+            snapshot: Span::millis(30_000),
+            memory: 64 * 1024,
+            half_life: Span::millis(7_200_000),
+            forget: Vec::new(),
+        }
+    }
 }
 
 impl Properties {
@@ -184,6 +214,7 @@
             round: Span::millis(1000),
             team_shards: 1,
             ended_kept: 2000,
+            forecast: ForecastProperties::default(),
         }
     }
 
@@ -196,6 +227,7 @@
                 _ => Err(bad(&want)),
             }
         };
+        let switch = || value.parse::<bool>().map_err(|_| bad("true or false"));
         match key {
             "claim.life.ms" => self.claim_life = ms(1000, 60_000)?,
             "claim.watch.ms" => self.claim_watch = ms(100, 10_000)?,
@@ -214,6 +246,21 @@
                 Ok(n) if n <= 1_000_000 => self.ended_kept = n,
                 _ => return Err(bad("a whole number up to 1000000")),
             },
+            "forecast.enabled" => self.forecast.enabled = switch()?,
+            "forecast.plans" => self.forecast.plans = switch()?,
+            "forecast.snapshot.ms" => self.forecast.snapshot = ms(5000, 3_600_000)?,
+            "forecast.memory.kib" => match value.parse::<usize>() {
+                Ok(n) if (16..=16_384).contains(&n) => self.forecast.memory = n * 1024,
+                _ => return Err(bad("a whole number of KiB from 16 to 16384")),
+            },
+            "forecast.half-life.s" => match value.parse::<u64>() {
+                Ok(n) if (60..=31_536_000).contains(&n) => self.forecast.half_life = Span::millis(n * 1000),
+                _ => return Err(bad("a whole number of seconds from 60 to 31536000")),
+            },
+            "forecast.forget" => {
+                let classes = value.split(',').map(str::trim).filter(|class| !class.is_empty());
+                self.forecast.forget = classes.map(Name::new).collect();
+            }
             _ => return Err(ConfigError(format!("property {key}: no such property"))),
         }
         Ok(())
@@ -326,6 +373,9 @@
             for (key, value) in sorted {
                 own.set(&key, value.trim())?;
             }
+            if own.forecast.plans && !own.forecast.enabled {
+                return Err(ConfigError("property forecast.plans: needs forecast.enabled = true".into()));
+            }
         }
         Ok(Settings {
             label,
--- a/src/coordination/binding.rs
+++ b/src/coordination/binding.rs
@@ -1,6 +1,7 @@
 //! Late binding: when a worker reports room, the first tasks from the queue's front that fit go
 //! to it. Nothing is bound before.
 
+use super::runs::Progress;
 use super::shard::{AVOID, Attempt, Job, Line, Machine, Shard};
 use crate::config::Settings;
 use crate::model::*;
@@ -337,6 +338,7 @@
                     state: None,
                     sent_in,
                     running_since: None,
+                    progress: Progress::default(),
                     stop: None,
                 };
                 log::debug!("task {task} attempt {no} goes to {id}");
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -6,7 +6,7 @@
 use super::*;
 use crate::protocol::cloud::MOST_RENTED;
 
-const PLAN_PAUSE: Span = Span::millis(1_000);
+pub(super) const PLAN_PAUSE: Span = Span::millis(1_000);
 /// The part of the time left that is planned with: estimates are often wrong.
 const USABLE: f64 = 0.85;
 /// How long work that is in no hurry waits for cheap machines before dear ones are rented for it.
--- /dev/null
+++ b/src/coordination/forecasts.rs
@@ -0,0 +1,493 @@
+//! Learning run times from what attempts tell, and promising finish times. What was learned belongs to a
+//! shard and goes on from holder to holder as a snapshot; nothing else depends on it, so it is read and
+//! written only while the limits leave plenty for what does.
+
+use super::fleet::PLAN_PAUSE;
+use super::members::to_value;
+use super::runs::Runs;
+use super::shard::{Job, Shard};
+use super::users::live_state;
+use super::*;
+use crate::bookkeeping::records::{self, ForecastRecord};
+use crate::config::ForecastProperties;
+use crate::protocol::state::{Change, Entry};
+use crate::protocol::users::{self as view, ForecastView, Interval, JobState, PromiseView, TaskForecast};
+use crowstall_forecast::{self as forecast, Finish, Learner, Limits, Outlook, Promises, Room, RunTime, Work};
+use forecast::snapshot::{self, Merged};
+
+/// How much of a burst must be left before anything is sent for forecasts.
+const SPARE: f64 = 0.5;
+/// How often forecasts of all jobs are made anew.
+const ROUND: Span = PLAN_PAUSE;
+/// How soon after a refusal it is tried again at first, and how late at last.
+const LEAST_PAUSE: Span = Span::millis(10_000);
+const MOST_PAUSE: Span = Span::millis(600_000);
+/// How often the log tells how well forecasts hold.
+const TOLD: Span = Span::millis(300_000);
+/// What a record takes besides the snapshot.
+const RECORD_HEAD: usize = 64;
+
+/// What is learned and promised in the shards held here.
+pub(super) struct Forecasts {
+    settings: ForecastProperties,
+    books: BTreeMap<ShardId, Book>,
+}
+
+/// Of one shard under one claim.
+struct Book {
+    claim: Revision,
+    learner: Learner,
+    promises: Promises,
+    finishes: HashMap<JobId, (Option<Finish>, RunTime)>,
+    made: Time,
+    told: Time,
+    saving: Saving,
+}
+
+/// Where the shard's snapshot stands.
+struct Saving {
+    /// The version of the record once it was read; until then nothing is written.
+    version: Option<Revision>,
+    /// A read or a write is on the way.
+    busy: bool,
+    next: Time,
+    pause: Span,
+    /// How much was learned by the time of the last snapshot, the one on the way included.
+    saved: u64,
+    learned: u64,
+    /// Records that could not be read have been told of.
+    warned: bool,
+}
+
+impl Saving {
+    /// It did not work out: later, and later each time.
+    fn put_off(&mut self, now: Time) {
+        self.busy = false;
+        self.next = now + self.pause;
+        self.pause = self.pause.times(2.0).min(MOST_PAUSE);
+    }
+}
+
+impl Forecasts {
+    /// Nothing if they are off.
+    pub fn new(cfg: &Settings) -> Option<Forecasts> {
+        let settings = cfg.own.forecast.clone();
+        settings.enabled.then(|| Forecasts { settings, books: BTreeMap::new() })
+    }
+
+    fn book(&mut self, shard: ShardId, claim: Revision) -> Option<&mut Book> {
+        self.books.get_mut(&shard).filter(|book| book.claim == claim)
+    }
+
+    /// The book of a shard under its present claim: a new one if that is a new one. What was learned under
+    /// the old claim stands in the snapshot, as far as it was saved.
+    fn open(&mut self, shard: &Shard, now: Time) {
+        if self.books.get(&shard.id).is_some_and(|book| book.claim == shard.claim) {
+            return;
+        }
+        let limits = Limits { memory: self.settings.memory, half_life: self.settings.half_life };
+        let saving =
+            Saving { version: None, busy: false, next: now, pause: LEAST_PAUSE, saved: 0, learned: 0, warned: false };
+        let book = Book {
+            claim: shard.claim,
+            learner: Learner::new(shard.claim.0, limits),
+            promises: Promises::default(),
+            finishes: HashMap::new(),
+            made: Time::ZERO,
+            told: now,
+            saving,
+        };
+        self.books.insert(shard.id, book);
+    }
+}
+
+impl Book {
+    /// Takes in what attempts have told.
+    fn learn(&mut self, shard: &mut Shard, now: Time) {
+        let Some(runs) = &mut shard.runs else { return };
+        for run in std::mem::take(&mut runs.told) {
+            let Some(job) = shard.jobs.get_mut(&run.job) else { continue };
+            let work = work_of(&job.spec, run.machine);
+            self.learner.learn(&work, run.attempt, &mut job.runs.track, now);
+            self.saving.learned += 1;
+        }
+    }
+
+    /// Makes the forecasts of all jobs anew, in the order in which they are served.
+    fn forecast_all(&mut self, shard: &mut Shard, cloud: &cloud::Cloud, cfg: &Settings, day_ms: u64, now: Time) {
+        self.made = now;
+        let stock = Stock::of(shard, &cloud.types, now);
+        let mut line: Vec<&Job> = shard.jobs.values().filter(|job| job.ending.is_none()).collect();
+        line.sort_by_key(|job| (job.spec.priority, job.left_ms(cfg, day_ms), &job.order));
+        let mut ahead_cpu_s = 0.0;
+        let mut finishes = HashMap::with_capacity(line.len());
+        let mut expected = Vec::new();
+        for job in line.into_iter().filter(|job| job.spec.kind == JobKind::Array) {
+            let machine = stock.usual_type(&job.spec);
+            let run = self.learner.predict(&work_of(&job.spec, machine), &job.runs.track);
+            let cpus = job.spec.needs.cpus.value();
+            let running = running_times(shard, job, now);
+            let room = stock.room(&job.spec, cfg);
+            let fetch =
+                cloud.types.values().map(|kind| job.spec.image_gb / kind.fetch_gb_per_s).fold(f64::MAX, f64::min);
+            let pending = job.pending.len() + job.unlocated.len();
+            let fetch = if fetch < f64::MAX { Span::secs(fetch) } else { Span::ZERO };
+            let outlook = Outlook { run, cpus, pending, running: &running, ahead_cpu_s, fetch, room: &room };
+            // A job that fails everywhere ends when its user cancels it, or never.
+            let finish = if job.at_fault { None } else { forecast::finish(&outlook) };
+            let id = &job.spec.id;
+            if let Some(finish) = finish {
+                let before = self.promises.get(id);
+                let promise = self.promises.promise(id, finish, now);
+                if before != Some(promise) {
+                    let (from_now, revisions) = (promise.by.since(now).as_secs(), promise.revisions);
+                    log::debug!("job {id} is promised to be done in {from_now:.1} s (revision {revisions})");
+                }
+            }
+            let left = running.iter().map(|ran| (run.mean.as_secs() - ran.as_secs()).max(0.0)).sum::<f64>();
+            ahead_cpu_s += cpus * (f64::from(pending) * run.mean.as_secs() + left);
+            expected.push((id.clone(), run.mean));
+            finishes.insert(id.clone(), (finish, run));
+        }
+        if cfg.own.forecast.plans {
+            for (id, mean) in expected {
+                if let Some(job) = shard.jobs.get_mut(&id) {
+                    job.runs.expected = Some(mean);
+                }
+            }
+        }
+        self.finishes = finishes;
+    }
+
+    fn record(&self) -> view::ForecastRecord {
+        let (runs, promises) = (self.learner.calibration.overall(), self.promises.tally);
+        let kept = 1.0 - promises.above as f64 / promises.judged.max(1) as f64;
+        view::ForecastRecord {
+            run_times_judged: runs.judged,
+            inside_interval: runs.coverage(),
+            promises_judged: promises.judged,
+            promises_kept: (promises.judged > 0).then_some(kept),
+        }
+    }
+
+    /// Takes in the snapshots of all shards, this one's first.
+    fn take_in(&mut self, shard: ShardId, entries: &[Entry], forget: &[Name], now: Time) {
+        let own = records::forecast_key(shard);
+        let (mine, others): (Vec<&Entry>, Vec<&Entry>) = entries.iter().partition(|entry| entry.key == own);
+        for entry in mine.into_iter().chain(others) {
+            let record = serde_json::from_value::<ForecastRecord>(entry.value.clone()).map_err(|e| e.to_string());
+            match record.and_then(|record| snapshot::read(&record.snapshot).map_err(|e| e.to_string())) {
+                Ok(snapshot) => {
+                    let merged = self.learner.merge(&snapshot, now);
+                    log::info!("{}: {} attempts, {:?}", entry.key, snapshot.attempts(), merged);
+                    if merged == Merged::Added {
+                        forget.iter().for_each(|class| self.learner.forget(class));
+                    }
+                }
+                // What can't be read is not worth a failed start; the next snapshot replaces it.
+                Err(error) if !self.saving.warned => {
+                    self.saving.warned = true;
+                    log::warn!("record {} is ignored: {error}", entry.key);
+                }
+                Err(_) => {}
+            }
+        }
+    }
+}
+
+fn work_of(spec: &JobSpec, machine: Name) -> Work {
+    Work {
+        team: spec.team.clone(),
+        class: spec.class.clone(),
+        machine,
+        tasks: spec.tasks,
+        estimate: Span::secs(spec.estimate_s),
+    }
+}
+
+/// How long each running task of a job has run.
+fn running_times(shard: &Shard, job: &Job, now: Time) -> Vec<Span> {
+    let since = |(machine, no): &(MachineId, AttemptNo)| {
+        let attempt = shard.machines.get(machine).and_then(|machine| machine.attempts.get(no));
+        now.since(attempt.and_then(|attempt| attempt.running_since).unwrap_or(now))
+    };
+    job.running.values().map(since).collect()
+}
+
+/// The machines of one kind, zone and price.
+struct Group {
+    kind: Name,
+    zone: Name,
+    spot: bool,
+    room: Resources,
+    count: u32,
+    /// Seconds until they are up; none for those that are.
+    up_in: Option<Span>,
+    /// The part that services leave.
+    free: f64,
+}
+
+/// All machines, there and booting, by group.
+struct Stock {
+    groups: Vec<Group>,
+}
+
+impl Stock {
+    fn of(shard: &Shard, types: &HashMap<Name, MachineType>, now: Time) -> Stock {
+        type Key<'a> = (&'a Name, &'a Name, bool);
+        let mut there: BTreeMap<Key, (u32, f64)> = BTreeMap::new();
+        for machine in shard.machines.values().filter(|machine| machine.may_bind(now)) {
+            let services = machine.attempts.values().filter(|attempt| {
+                let job = shard.jobs.get(&attempt.task.job);
+                !attempt.is_over() && job.is_some_and(|job| job.spec.kind == JobKind::Service)
+            });
+            let used: f64 = services.map(|attempt| attempt.needs.cpus.value()).sum();
+            let entry = there.entry((&machine.kind, &machine.zone, machine.spot)).or_default();
+            *entry = (entry.0 + 1, entry.1 + used);
+        }
+        let mut groups = Vec::new();
+        for ((kind, zone, spot), (count, used)) in there {
+            let Some(room) = types.get(kind).map(|kind| kind.room) else { continue };
+            let free = (1.0 - used / (f64::from(count) * room.cpus.value()).max(1e-6)).clamp(0.0, 1.0);
+            groups.push(Group { kind: kind.clone(), zone: zone.clone(), spot, room, count, up_in: None, free });
+        }
+        let mut coming: BTreeMap<(&Name, &Name, bool, u64), u32> = BTreeMap::new();
+        for machine in shard.booting.values().filter(|machine| !machine.deleting) {
+            let Some(kind) = types.get(&machine.kind) else { continue };
+            let age = now.since(machine.since);
+            // What is late already is expected to be as late again.
+            let up_in = (kind.boot - age).max(age.times(0.25)).as_secs().ceil() as u64;
+            *coming.entry((&machine.kind, &machine.zone, machine.spot, up_in)).or_default() += 1;
+        }
+        for ((kind, zone, spot, up_in), count) in coming {
+            let Some(room) = types.get(kind).map(|kind| kind.room) else { continue };
+            let up_in = Some(Span::millis(up_in * 1000));
+            groups.push(Group { kind: kind.clone(), zone: zone.clone(), spot, room, count, up_in, free: 1.0 });
+        }
+        groups.sort_by_key(|group| group.up_in);
+        Stock { groups }
+    }
+
+    fn allowed<'a>(&'a self, spec: &'a JobSpec) -> impl Iterator<Item = &'a Group> {
+        self.groups.iter().filter(|group| spec.allows(&group.kind, &group.zone, group.spot))
+    }
+
+    /// The type of most machines that the job may use.
+    fn usual_type(&self, spec: &JobSpec) -> Name {
+        let mut counts: BTreeMap<&Name, u32> = BTreeMap::new();
+        for group in self.allowed(spec) {
+            *counts.entry(&group.kind).or_default() += group.count;
+        }
+        counts.into_iter().max_by_key(|(_, count)| *count).map_or_else(|| Name::new("-"), |(kind, _)| kind.clone())
+    }
+
+    fn room(&self, spec: &JobSpec, cfg: &Settings) -> Room {
+        let task = spec.needs.cpus.value();
+        let mut room = Room::default();
+        for group in self.allowed(spec) {
+            let cpus = f64::from(group.count * group.room.slots(&spec.needs)) * group.free * task;
+            match group.up_in {
+                None => room.cpus += cpus,
+                Some(up_in) => room.booting.push((up_in, cpus)),
+            }
+        }
+        let limit = cfg.teams.get(&spec.team).and_then(|limits| limits.cpus_max);
+        room.most = limit.map_or(f64::MAX, Amount::value).min(f64::from(spec.tasks) * task);
+        room
+    }
+}
+
+impl Controller {
+    pub(super) fn forecast_tick(&mut self) {
+        let Some(forecasts) = &mut self.forecasts else { return };
+        let now = self.now;
+        forecasts.books.retain(|id, book| self.shards.get(id).is_some_and(|shard| shard.claim == book.claim));
+        let active: Vec<ShardId> = self.shards.values().filter(|shard| shard.active).map(|shard| shard.id).collect();
+        for id in active {
+            self.forecast_shard(id, now);
+        }
+    }
+
+    fn forecast_shard(&mut self, id: ShardId, now: Time) {
+        let (Some(forecasts), Some(shard)) = (&mut self.forecasts, self.shards.get_mut(&id)) else { return };
+        shard.runs.get_or_insert_with(|| Runs::new(self.cfg.report));
+        forecasts.open(shard, now);
+        let Some(book) = forecasts.books.get_mut(&id) else { return };
+        book.learn(shard, now);
+        if now.since(book.made) >= ROUND {
+            book.forecast_all(shard, &self.cloud, &self.cfg, self.day_ms, now);
+        }
+        if now.since(book.told) >= TOLD {
+            book.told = now;
+            let record = serde_json::to_string(&book.record()).unwrap_or_default();
+            log::info!("forecasts of shard {id}: {} kinds of work, {record}", book.learner.kinds());
+        }
+        self.keep_snapshot(id, now);
+    }
+
+    /// Reads the snapshots once, and writes this shard's from time to time.
+    fn keep_snapshot(&mut self, id: ShardId, now: Time) {
+        let entitled = self.entitled();
+        let Some(forecasts) = &mut self.forecasts else { return };
+        let pause = forecasts.settings.snapshot;
+        let Some(book) = forecasts.books.get_mut(&id) else { return };
+        let (claim, saving) = (book.claim, &mut book.saving);
+        let unsaved = saving.learned > saving.saved;
+        if !entitled || saving.busy || now < saving.next || (saving.version.is_some() && !unsaved) {
+            return;
+        }
+        if !self.requests.has_spare(now, SPARE) || !self.writes.has_spare(now, SPARE) {
+            return;
+        }
+        let Some(version) = saving.version else {
+            saving.busy = true;
+            return self.load_forecasts(id, claim, None);
+        };
+        let most = self.cfg.value_bytes.saturating_sub(RECORD_HEAD);
+        let Some(text) = snapshot::write(&book.learner, now, most) else {
+            // Not even the coarsest fits: there is nothing to be saved with these limits.
+            saving.next = now + MOST_PAUSE;
+            return;
+        };
+        saving.busy = true;
+        saving.saved = saving.learned;
+        saving.next = now + pause;
+        let key = records::forecast_key(id);
+        let value = to_value(&ForecastRecord { snapshot: text });
+        let request = StateCall::Commit {
+            conditions: vec![(records::shard_key(id), claim), (key.clone(), version)],
+            changes: vec![Change::Put { key, value, hold: None }],
+        };
+        self.call_state(request, StateWork::SaveForecast { shard: id, claim });
+    }
+
+    fn load_forecasts(&mut self, shard: ShardId, claim: Revision, after: Option<String>) {
+        let request = StateCall::List { prefix: records::FORECASTS, after };
+        self.call_state(request, StateWork::LoadForecasts { shard, claim });
+    }
+
+    pub(super) fn forecasts_loaded(&mut self, shard: ShardId, claim: Revision, answer: Result<StateAnswer, CallError>) {
+        let now = self.now;
+        let Some(forecasts) = &mut self.forecasts else { return };
+        let forget = forecasts.settings.forget.clone();
+        let Some(book) = forecasts.book(shard, claim) else { return };
+        let Ok(StateAnswer::Page { entries, more }) = answer else {
+            book.saving.version = None;
+            return book.saving.put_off(now);
+        };
+        book.take_in(shard, &entries, &forget, now);
+        let own = records::forecast_key(shard);
+        let version = entries.iter().find(|entry| entry.key == own).map(|entry| entry.version);
+        // Nothing is written before all pages are read: it stays busy until then.
+        book.saving.version = version.or(book.saving.version);
+        match entries.last() {
+            Some(last) if more => self.load_forecasts(shard, claim, Some(last.key.clone())),
+            _ => {
+                book.saving.version.get_or_insert(Revision(0));
+                book.saving.busy = false;
+                book.saving.pause = LEAST_PAUSE;
+            }
+        }
+    }
+
+    pub(super) fn forecast_saved(&mut self, shard: ShardId, claim: Revision, answer: Result<StateAnswer, CallError>) {
+        let now = self.now;
+        let Some(forecasts) = &mut self.forecasts else { return };
+        let Some(book) = forecasts.book(shard, claim) else { return };
+        let saving = &mut book.saving;
+        match answer {
+            Ok(StateAnswer::Committed(version)) => {
+                saving.version = Some(version);
+                saving.busy = false;
+                saving.pause = LEAST_PAUSE;
+            }
+            Ok(StateAnswer::Conflict(failed)) if failed.contains(&records::shard_key(shard)) => {
+                self.drop_shard(shard, "the claim is another's");
+            }
+            Err(CallError::Refused { .. }) => {
+                saving.saved = 0;
+                saving.put_off(now);
+            }
+            // It may have been written or not: the record tells, and what it holds is known here already.
+            _ => {
+                saving.saved = 0;
+                saving.version = None;
+                saving.put_off(now);
+            }
+        }
+    }
+
+    /// Learns at once, before a job that has told something goes out of memory.
+    pub(super) fn learn_runs(&mut self, id: ShardId) {
+        let now = self.now;
+        let Some(book) = self.forecasts.as_mut().and_then(|forecasts| forecasts.books.get_mut(&id)) else { return };
+        if let Some(shard) = self.shards.get_mut(&id) {
+            book.learn(shard, now);
+        }
+    }
+
+    /// A job is over: what it was promised is judged.
+    pub(super) fn forecast_ended(&mut self, shard: ShardId, job: &JobId, state: Final) {
+        let now = self.now;
+        let Some(book) = self.forecasts.as_mut().and_then(|forecasts| forecasts.books.get_mut(&shard)) else { return };
+        book.finishes.remove(job);
+        if state == Final::Cancelled {
+            return book.promises.drop_job(job);
+        }
+        if let Some((promise, late)) = book.promises.done(job, now) {
+            let took = now.since(promise.made).as_secs();
+            log::debug!(
+                "job {job}: promised within {:.1} s, took {took:.1} s",
+                promise.by.since(promise.made).as_secs()
+            );
+            if late > Span::ZERO {
+                log::debug!("job {job} is {:.1} s later than promised", late.as_secs());
+            }
+        }
+    }
+
+    /// Tells the forecast of a job that is in memory here.
+    pub(super) fn forecast_live(&mut self, asker: Asker, shard_id: ShardId, id: &JobId) {
+        let now = self.now;
+        let reply = match (&mut self.forecasts, self.shards.get_mut(&shard_id)) {
+            (Some(forecasts), Some(shard)) => match forecasts.books.get_mut(&shard_id) {
+                Some(book) => {
+                    let is_array = shard.jobs.get(id).is_some_and(|job| job.spec.kind == JobKind::Array);
+                    if is_array && !book.finishes.contains_key(id) && now.since(book.made) >= Span::millis(200) {
+                        book.forecast_all(shard, &self.cloud, &self.cfg, self.day_ms, now);
+                    }
+                    forecast_view(book, shard, id, self.day_ms, now)
+                }
+                None => None,
+            },
+            _ => None,
+        };
+        self.reply(asker, reply.unwrap_or_else(|| Reply::busy("its forecast is being made")));
+    }
+}
+
+/// Nothing if there is nothing to tell yet.
+fn forecast_view(book: &Book, shard: &Shard, id: &JobId, day_ms: u64, now: Time) -> Option<Reply> {
+    let job = shard.jobs.get(id)?;
+    let state: JobState = live_state(job)?;
+    let interval = |low: Span, middle: Span, high: Span| Interval {
+        low_s: low.as_secs(),
+        middle_s: middle.as_secs(),
+        high_s: high.as_secs(),
+    };
+    let (mut task, mut finish) = (None, None);
+    if job.spec.kind == JobKind::Array {
+        let (end, run) = book.finishes.get(id)?;
+        let (observations, level) = (run.observations, run.level);
+        task = Some(TaskForecast { run: interval(run.low, run.middle, run.high), observations, level });
+        let age = now.since(book.made);
+        finish = end.map(|end| interval(end.low - age, end.middle - age, end.high - age));
+    }
+    let promise = book.promises.get(id).map(|promise| {
+        let by_s = promise.by.since(now).as_secs() - now.since(promise.by).as_secs();
+        let by_ms = day_ms.saturating_add_signed((by_s * 1000.0) as i64);
+        PromiseView { by_s, by_ms, made_s: now.since(promise.made).as_secs(), revisions: promise.revisions }
+    });
+    let (done, running, record) = (job.done.len(), job.running.len() as u32, book.record());
+    Some(Reply::json(200, &ForecastView { id: id.as_str(), state, done, running, task, finish, promise, record }))
+}
--- a/src/coordination/ledger.rs
+++ b/src/coordination/ledger.rs
@@ -235,6 +235,9 @@
 
     /// The job's end is durable: now it may be told, and its tasks may go.
     fn job_ended(&mut self, shard_id: ShardId, id: &JobId, state: Final) {
+        let Some(shard) = self.shards.get_mut(&shard_id) else { return };
+        shard.note_cuts(id);
+        self.learn_runs(shard_id);
         let Some(shard) = self.shards.get_mut(&shard_id) else { return };
         let Some(job) = shard.jobs.remove(id) else { return };
         for machine in shard.machines.values_mut() {
@@ -245,6 +248,7 @@
             }
         }
         log::info!("job {id} {state:?}");
+        self.forecast_ended(shard_id, id, state);
         self.job_homes.remove(id);
         self.ended.insert(id.clone(), state, job.done.len());
         for asker in job.cancel_askers {
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -7,10 +7,12 @@
 mod cloud;
 mod detours;
 mod fleet;
+mod forecasts;
 mod ledger;
 mod members;
 mod moves;
 mod returns;
+mod runs;
 mod shard;
 mod users;
 mod workers;
@@ -197,6 +199,14 @@
         shard: ShardId,
         claim: Revision,
     },
+    LoadForecasts {
+        shard: ShardId,
+        claim: Revision,
+    },
+    SaveForecast {
+        shard: ShardId,
+        claim: Revision,
+    },
 }
 
 /// Calls to the cloud and what to do with their answers.
@@ -263,6 +273,7 @@
     requests: Budget,
     writes: Budget,
     cloud: cloud::Cloud,
+    forecasts: Option<forecasts::Forecasts>,
 }
 
 /// The newest ended jobs; older ones are read from the state service.
@@ -334,6 +345,7 @@
             requests,
             writes,
             cloud: cloud::Cloud::new(&cfg),
+            forecasts: forecasts::Forecasts::new(&cfg),
             cfg,
         };
         controller.share_limits();
@@ -464,6 +476,7 @@
             Ask::Submit(Err(bad)) => self.refuse(Asker::Local(id), bad),
             Ask::Poll(job) => self.poll(Asker::Local(id), job),
             Ask::Cancel(job) => self.cancel(Asker::Local(id), job),
+            Ask::Forecast(job) => self.forecast(Asker::Local(id), job),
         }
     }
 
@@ -504,6 +517,8 @@
             }
             StateWork::Move { shard, claim, machine, to } => self.moved(shard, claim, machine, to, answer),
             StateWork::FetchMachine { shard, claim } => self.machine_arrived(shard, claim, answer),
+            StateWork::LoadForecasts { shard, claim } => self.forecasts_loaded(shard, claim, answer),
+            StateWork::SaveForecast { shard, claim } => self.forecast_saved(shard, claim, answer),
         }
     }
 
@@ -531,6 +546,7 @@
                     PeerAsk::Submit(spec) => self.submit_here(asker, shard, *spec),
                     PeerAsk::Poll(job) => self.poll_here(asker, shard, job),
                     PeerAsk::Cancel(job) => self.cancel_here(asker, shard, job),
+                    PeerAsk::Forecast(job) => self.forecast_here(asker, shard, job),
                     PeerAsk::Report(report) => self.reported(asker, report),
                 }
             }
@@ -574,5 +590,6 @@
         self.workers_tick();
         self.ledger_tick();
         self.fleet_tick();
+        self.forecast_tick();
     }
 }
--- a/src/coordination/shard.rs
+++ b/src/coordination/shard.rs
@@ -1,6 +1,7 @@
 //! One shard in memory: its jobs, its machines, and what is running where.
 
 use super::Asker;
+use super::runs::{Progress, Runs, TaskRuns};
 use crate::bookkeeping::ranges::RangeSet;
 use crate::bookkeeping::records::{LiveRecord, MachineRecord};
 use crate::model::*;
@@ -56,6 +57,7 @@
     pub waiting_since: Time,
     /// Run times seen, to judge the owner's estimate by.
     pub ran: (f64, u32),
+    pub runs: TaskRuns,
 }
 
 impl Job {
@@ -70,6 +72,9 @@
 
     /// The run time to expect of a task: as seen so far if any was seen, else as estimated.
     pub fn run_time(&self) -> f64 {
+        if let Some(expected) = self.runs.expected {
+            return expected.as_secs().max(1.0);
+        }
         let (sum, count) = self.ran;
         if count > 0 { (sum + self.spec.estimate_s) / (count as f64 + 1.0) } else { self.spec.estimate_s }.max(1.0)
     }
@@ -118,6 +123,7 @@
     /// The report in whose answer it was sent, or in which it was found.
     pub sent_in: (Session, Seq),
     pub running_since: Option<Time>,
+    pub progress: Progress,
     /// It is to be stopped, with that much time to save.
     pub stop: Option<f64>,
 }
@@ -230,6 +236,8 @@
     pub settled: bool,
     /// Arrays whose last task has completed and whose end is not being recorded yet.
     pub finished: Vec<JobId>,
+    /// What attempts have told of run times, if anybody wants to know.
+    pub runs: Option<Runs>,
     pub line: Line,
     /// How many jobs and machines were looked at on the path of reports: what a report costs.
     pub steps: Cell<u64>,
@@ -277,6 +285,7 @@
             renting: BTreeMap::new(),
             settled: false,
             finished: Vec::new(),
+            runs: None,
             line: Line::default(),
             steps: Cell::new(0),
             early: Vec::new(),
@@ -354,6 +363,7 @@
             version,
             accepted_ms,
             pending,
+            runs: TaskRuns::inherited(&unlocated),
             unlocated,
             recorded: done.clone(),
             written: done.len(),
@@ -477,6 +487,7 @@
     /// Books that an attempt no longer runs: its room and quota are free, its task is done or
     /// goes back to the queue.
     pub fn finish(&mut self, machine_id: &MachineId, no: AttemptNo, outcome: Outcome, now: Time) {
+        self.note_run(machine_id, no, outcome, now);
         let Some(machine) = self.machines.get_mut(machine_id) else { return };
         let Some(attempt) = machine.attempts.get(&no) else { return };
         let task = attempt.task.clone();
@@ -618,6 +629,9 @@
                     if told.state == TaskState::Running && attempt.running_since.is_none() {
                         attempt.running_since = Some(now);
                     }
+                    if let Some(runs) = &self.runs {
+                        attempt.note_progress(told.state, runs.patience, now);
+                    }
                     if !was_over && let TaskState::Exited(exit) = told.state {
                         self.finish(id, told.attempt, Outcome::Exited(exit), now);
                     }
@@ -653,6 +667,7 @@
             state: Some(told.state),
             sent_in: (report.session, report.seq),
             running_since: (told.state == TaskState::Running).then_some(now),
+            progress: Progress::inherited(now),
             stop: (!wanted && !over).then_some(0.0),
         };
         let TaskState::Exited(exit) = told.state else {
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -19,6 +19,7 @@
 enum Then {
     Poll,
     Cancel,
+    Forecast,
     /// A submission that can't be taken, unless it is the retry of an accepted one.
     Refuse(Reply),
     /// A submission whose job is recorded already.
@@ -40,16 +41,23 @@
     view(id, state, done, 0)
 }
 
-fn live_view(job: &Job) -> Reply {
+/// What a user may be told of the state of a live job, if anything may be told.
+pub(super) fn live_state(job: &Job) -> Option<JobState> {
     // While a record of its end is on the way, another node may have read that already. One that is
     // done but waits for its turn to be recorded is still told as running.
     let may_be_read = job.unsure || job.ending.is_some() && job.writing;
     if may_be_read || job.ending == Some(Final::Cancelled) {
-        return Reply::busy("its record is being written");
+        return None;
+    }
+    let runs = !job.running.is_empty() || job.ending.is_some();
+    Some(if runs { JobState::Running } else { JobState::Queued })
+}
+
+fn live_view(job: &Job) -> Reply {
+    match live_state(job) {
+        Some(state) => view(&job.spec.id, state, job.done.len(), job.running.len() as u32),
+        None => Reply::busy("its record is being written"),
     }
-    let running = job.running.len() as u32;
-    let state = if running > 0 || job.ending.is_some() { JobState::Running } else { JobState::Queued };
-    view(&job.spec.id, state, job.done.len(), running)
 }
 
 impl Controller {
@@ -95,7 +103,7 @@
                 let reply = match then {
                     Then::Refuse(reply) => reply,
                     Then::Known => Reply::busy("try again"),
-                    Then::Poll | Then::Cancel => Reply::error(404, "no such job"),
+                    Then::Poll | Then::Cancel | Then::Forecast => Reply::error(404, "no such job"),
                 };
                 self.reply(asker, reply);
             }
@@ -120,11 +128,13 @@
             }
             return match then {
                 Then::Cancel => self.cancel_here(asker, shard_id, id),
+                Then::Forecast => self.forecast_here(asker, shard_id, id),
                 _ => self.poll_here(asker, shard_id, id),
             };
         }
         match then {
             Then::Cancel => self.pass_on(asker, shard_id, PeerAsk::Cancel(id)),
+            Then::Forecast => self.pass_on(asker, shard_id, PeerAsk::Forecast(id)),
             _ => {
                 let done = crate::bookkeeping::ranges::RangeSet::parse(&record.done, record.job.tasks);
                 let done = done.map_or(0, |done| done.len());
@@ -150,7 +160,9 @@
                 let number = self.next_call;
                 let (what, timeout) = match &ask {
                     PeerAsk::Submit(spec) => (Passed::Submission(spec.clone()), SUBMIT_TIMEOUT),
-                    PeerAsk::Poll(job) | PeerAsk::Cancel(job) => (Passed::Question(job.clone()), FORWARD_TIMEOUT),
+                    PeerAsk::Poll(job) | PeerAsk::Cancel(job) | PeerAsk::Forecast(job) => {
+                        (Passed::Question(job.clone()), FORWARD_TIMEOUT)
+                    }
                     PeerAsk::Report(_) => (Passed::Report, FORWARD_TIMEOUT),
                 };
                 self.forwarded.insert(number, Forwarded { ask: id, until: self.now + timeout, what });
@@ -199,6 +211,38 @@
         }
     }
 
+    /// A job's forecast, as its shard's holder has it; the way there is a poll's.
+    pub(super) fn forecast(&mut self, asker: Asker, job: JobId) {
+        if self.forecasts.is_none() {
+            return self.reply(asker, Reply::error(404, "forecasts are off"));
+        }
+        if self.ended.jobs.contains_key(&job) {
+            return self.poll(asker, job);
+        }
+        if let Some(shard) = self.shard_with(&job) {
+            return self.forecast_here(asker, shard, job);
+        }
+        match self.home_of_job(&job) {
+            Some(shard) if !self.shards.contains_key(&shard) && self.live_holder(shard).is_some() => {
+                self.pass_on(asker, shard, PeerAsk::Forecast(job))
+            }
+            _ => self.look_up(asker, job, Then::Forecast),
+        }
+    }
+
+    pub(super) fn forecast_here(&mut self, asker: Asker, shard: ShardId, job: JobId) {
+        if self.ended.jobs.contains_key(&job) {
+            return self.poll_here(asker, shard, job);
+        }
+        if !self.entitled() {
+            return self.reply(asker, Reply::busy("no fresh state"));
+        }
+        match self.shards.get(&shard).is_some_and(|shard| shard.jobs.contains_key(&job)) {
+            true => self.forecast_live(asker, shard, &job),
+            false => self.look_up(asker, job, Then::Forecast),
+        }
+    }
+
     pub(super) fn cancel(&mut self, asker: Asker, job: JobId) {
         if let Some((state, done)) = self.ended.jobs.get(&job).copied() {
             return self.reply(asker, final_view(&job, state, done));
--- a/src/protocol/peers.rs
+++ b/src/protocol/peers.rs
@@ -67,6 +67,7 @@
     Submit(Box<JobSpec>),
     Poll(JobId),
     Cancel(JobId),
+    Forecast(JobId),
     /// A report of a worker that does not reach the shard's holder itself.
     Report(Box<Report>),
 }
--- a/src/protocol/users.rs
+++ b/src/protocol/users.rs
@@ -10,6 +10,7 @@
     Submit(Result<JobSpec, BadJob>),
     Poll(JobId),
     Cancel(JobId),
+    Forecast(JobId),
     Up,
     Report(Box<super::workers::Report>),
     /// Answered without a look at any state.
@@ -168,16 +169,16 @@
         return wrong_method("POST").unwrap_or_else(|| Ask::Submit(parse_submission(body)));
     }
     let Some(rest) = path.strip_prefix("/v1/jobs/") else { return unknown() };
-    let (id, allowed) = match rest.strip_suffix("/cancel") {
-        Some(id) => (id, "POST"),
-        None => (rest, "GET"),
+    let (id, allowed, ask): (_, _, fn(JobId) -> Ask) = match rest.rsplit_once('/') {
+        Some((id, "cancel")) => (id, "POST", Ask::Cancel),
+        Some((id, "forecast")) => (id, "GET", Ask::Forecast),
+        _ => (rest, "GET", Ask::Poll),
     };
     if id.contains('/') {
         return unknown();
     }
     wrong_method(allowed).unwrap_or_else(|| match parse_job_id(id) {
-        Some(id) if allowed == "POST" => Ask::Cancel(id),
-        Some(id) => Ask::Poll(id),
+        Some(id) => ask(id),
         None => unknown(),
     })
 }
@@ -203,3 +204,57 @@
     pub done: u32,
     pub running: u32,
 }
+
+/// When a job is expected to be done, and what that rests on. All times are in seconds from the answer.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct ForecastView<'a> {
+    pub id: &'a str,
+    #[serde(rename = "mood")]
+    pub state: JobState,
+    pub done: u32,
+    pub running: u32,
+    /// Of one of its tasks; nothing for services and for jobs that are over.
+    pub task: Option<TaskForecast>,
+    /// Nothing also if there is no room in sight for it.
+    pub finish: Option<Interval>,
+    pub promise: Option<PromiseView>,
+    /// How well earlier forecasts have held.
+    pub record: ForecastRecord,
+}
+
+/// One outcome in ten is expected below `low_s`, one in ten above `high_s`.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct Interval {
+    pub low_s: f64,
+    pub middle_s: f64,
+    pub high_s: f64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct TaskForecast {
+    #[serde(flatten)]
+    pub run: Interval,
+    /// How many completed attempts it rests on, and how finely they were told apart.
+    pub observations: u64,
+    pub level: crowstall_forecast::Level,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct PromiseView {
+    /// Negative if that is over.
+    pub by_s: f64,
+    /// The same by the time of day, in milliseconds since 1970.
+    pub by_ms: u64,
+    /// How long ago it was made, and how many it takes the place of.
+    pub made_s: f64,
+    pub revisions: u32,
+}
+
+/// Shares are missing where nothing was judged yet.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct ForecastRecord {
+    pub run_times_judged: u64,
+    pub inside_interval: Option<f64>,
+    pub promises_judged: u64,
+    pub promises_kept: Option<f64>,
+}
--- a/src/protocol/workers.rs
+++ b/src/protocol/workers.rs
@@ -32,6 +32,8 @@
     hatch: u64,
     mood: Mood,
     cause: Option<String>,
+    #[serde(default)]
+    saved: Option<bool>,
 }
 
 #[derive(Deserialize)]
@@ -80,6 +82,8 @@
 pub enum Exit {
     Done,
     Stopped,
+    /// Stopped, and its progress is saved.
+    Saved,
     Error,
     /// The start was refused for want of room.
     NoRoom,
@@ -102,6 +106,7 @@
             Mood::Saving => TaskState::Saving,
             Mood::Ended => TaskState::Exited(match task.cause.as_deref() {
                 Some("done") => Exit::Done,
+                Some("halted") if task.saved == Some(true) => Exit::Saved,
                 Some("halted") => Exit::Stopped,
                 Some("no_room") => Exit::NoRoom,
                 Some("busy") => Exit::Busy,
