--- a/crates/forecast/tests/hard_cases.rs
+++ b/crates/forecast/tests/hard_cases.rs
@@ -196,6 +196,8 @@
             replay.line(&line);
         }
         let summary = &replay.summary;
+        // The learner judges itself on the very same, so that its operators can see it.
+        assert_eq!(replay.learner.calibration.overall(), summary.all(), "seed {seed}");
         let (all, near) = (summary.all(), summary.all().near().expect("some completed"));
         assert!(near >= 0.6, "seed {seed}: {near} within a quarter");
         for tally in [all, summary.few, summary.many] {
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -184,17 +184,30 @@
     }
 
     pub(super) fn poll(&mut self, asker: Asker, job: JobId) {
+        self.ask_holder(asker, job, Self::poll_here, PeerAsk::Poll, Then::Poll);
+    }
+
+    /// A question about a job: answered here if it is in memory, else by its shard's holder, else from the
+    /// records.
+    fn ask_holder(
+        &mut self,
+        asker: Asker,
+        job: JobId,
+        here: fn(&mut Self, Asker, ShardId, JobId),
+        ask: fn(JobId) -> PeerAsk,
+        then: Then,
+    ) {
         if let Some((state, done)) = self.ended.jobs.get(&job).copied() {
             return self.reply(asker, final_view(&job, state, done));
         }
         if let Some(shard) = self.shard_with(&job) {
-            return self.poll_here(asker, shard, job);
+            return here(self, asker, shard, job);
         }
         match self.home_of_job(&job) {
             Some(shard) if !self.shards.contains_key(&shard) && self.live_holder(shard).is_some() => {
-                self.pass_on(asker, shard, PeerAsk::Poll(job))
+                self.pass_on(asker, shard, ask(job))
             }
-            _ => self.look_up(asker, job, Then::Poll),
+            _ => self.look_up(asker, job, then),
         }
     }
 
@@ -211,26 +224,18 @@
         }
     }
 
-    /// A job's forecast, as its shard's holder has it; the way there is a poll's.
+    /// A job's forecast, as its shard's holder has it; of one that is over, its state.
     pub(super) fn forecast(&mut self, asker: Asker, job: JobId) {
         if self.forecasts.is_none() {
             return self.reply(asker, Reply::error(404, "forecasts are off"));
         }
-        if self.ended.jobs.contains_key(&job) {
-            return self.poll(asker, job);
-        }
-        if let Some(shard) = self.shard_with(&job) {
-            return self.forecast_here(asker, shard, job);
-        }
-        match self.home_of_job(&job) {
-            Some(shard) if !self.shards.contains_key(&shard) && self.live_holder(shard).is_some() => {
-                self.pass_on(asker, shard, PeerAsk::Forecast(job))
-            }
-            _ => self.look_up(asker, job, Then::Forecast),
-        }
+        self.ask_holder(asker, job, Self::forecast_here, PeerAsk::Forecast, Then::Forecast);
     }
 
     pub(super) fn forecast_here(&mut self, asker: Asker, shard: ShardId, job: JobId) {
+        if self.forecasts.is_none() {
+            return self.reply(asker, Reply::error(404, "forecasts are off here"));
+        }
         if self.ended.jobs.contains_key(&job) {
             return self.poll_here(asker, shard, job);
         }
--- a/tests/protocol.rs
+++ b/tests/protocol.rs
@@ -98,6 +98,9 @@
     assert_eq!(status("DELETE", "/v1/jobs/wk-1"), 405);
     assert_eq!(status("GET", "/v1/jobs"), 405);
     assert_eq!(status("GET", "/v1/jobs/wk-1/cancel"), 405);
+    assert_eq!(status("POST", "/v1/jobs/wk-1/forecast"), 405);
+    assert_eq!(status("GET", "/v1/jobs/other-1/forecast"), 404);
+    assert_eq!(parse("GET", "/v1/jobs/wk-1/forecast", b""), Ask::Forecast(JobId::new("wk-1")));
     assert_eq!(status("POST", "/up"), 405);
     assert_eq!(status("POST", "/hello"), 400);
     assert_eq!(parse("GET", "/v1/jobs/wk-1", b""), Ask::Poll(JobId::new("wk-1")));
@@ -286,5 +289,14 @@
     assert_eq!(own("claim.life.ms = 5000").unwrap().claim_life.as_millis(), 5000);
     assert!(own("fleet.hedroom=1.5").unwrap_err().0.contains("no such property"));
     assert!(own("fleet.headroom=0.5").unwrap_err().0.contains("from 1 to 10"));
+    // The file that turns forecasts on is sound, and each bad value is named.
+    let forecast = own(include_str!("../deploy/forecast.properties")).unwrap().forecast;
+    assert!(forecast.enabled && !forecast.plans && forecast.forget.is_empty());
+    let forget = own("forecast.forget = batch, front ,").unwrap().forecast.forget;
+    assert_eq!(forget, [Name::new("batch"), Name::new("front")]);
+    for bad in ["forecast.enabled=yes", "forecast.plans=true", "forecast.memory.kib=8", "forecast.half-life.s=1"] {
+        let key = bad.split('=').next().unwrap();
+        assert!(own(bad).unwrap_err().0.contains(key), "{bad}");
+    }
     assert!(own("claim.life.ms=soon").unwrap_err().0.contains("claim.life.ms"));
 }
