--- a/crates/forecast/src/calibration.rs
+++ b/crates/forecast/src/calibration.rs
@@ -7,8 +7,13 @@
 /// How far one observation moves a side, and how far it may go, as logarithms of the width.
 const STEP: f64 = 0.06;
 const MOST: f64 = 1.5;
-/// From how many observations on an answer rests on many.
+/// From how many observations on an answer rests on many, and from how many of a job's own tasks on these.
 pub(crate) const MANY: u64 = 20;
+const OWN: u32 = 8;
+pub(crate) const BASES: usize = 4;
+/// A task of a large job tells little that is new of its class, but as much as any of how well it was
+/// predicted; so much is counted of it here at the least.
+const LEAST_WEIGHT: f64 = 0.3;
 
 /// What became of stated intervals.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -58,23 +63,27 @@
 
 impl Stretch {
     pub fn learn(&mut self, below: bool, above: bool, weight: f64) {
+        let weight = weight.max(LEAST_WEIGHT);
         let step = |missed: bool| STEP * weight * (f64::from(u8::from(missed)) - TAIL);
         self.low = (self.low + step(below)).clamp(-MOST, MOST);
         self.high = (self.high + step(above)).clamp(-MOST, MOST);
     }
 }
 
-/// Kept apart by how much an answer rests on: nothing, few or many observations.
+/// Kept apart by what an answer rests on: on nothing, on few or on many observations of such work, or on tasks
+/// of the very job. These differ in kind: what a job's tasks have in common is out of the last, and most
+/// tasks are of large jobs, so that one stretch for all would fit none of them.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Calibration {
-    pub(crate) stretch: [Stretch; 3],
+    pub(crate) stretch: [Stretch; BASES],
     /// What became of the intervals, by the same.
-    pub tallies: [Tally; 3],
+    pub tallies: [Tally; BASES],
 }
 
 impl Calibration {
-    pub(crate) fn class_of(observations: u64) -> usize {
+    pub(crate) fn basis(observations: u64, own: u32) -> usize {
         match observations {
+            _ if own >= OWN => 3,
             0 => 0,
             n if n < MANY => 1,
             _ => 2,
--- a/crates/forecast/src/learner.rs
+++ b/crates/forecast/src/learner.rs
@@ -220,6 +220,8 @@
     base: f64,
     survival: Survival,
     observations: u64,
+    /// What the answer rests on, for its calibration.
+    basis: usize,
     level: Level,
     common: f64,
     own: f64,
@@ -314,19 +316,19 @@
 
     fn calibrate(&mut self, expected: &Expected, ran: f64, is_event: bool, weight: f64) {
         let (low, middle, high) = self.interval(expected);
-        let class = Calibration::class_of(expected.observations);
+        let basis = expected.basis;
         // What was cut inside the interval may have ended anywhere.
         if is_event {
-            self.calibration.tallies[class].judge(low.exp(), middle.exp(), high.exp(), ran.exp());
+            self.calibration.tallies[basis].judge(low.exp(), middle.exp(), high.exp(), ran.exp());
         }
         if is_event || ran > high {
-            self.calibration.stretch[class].learn(ran < low, ran > high, weight);
+            self.calibration.stretch[basis].learn(ran < low, ran > high, weight);
         }
     }
 
     /// Low, middle and high, as logarithms.
     fn interval(&self, expected: &Expected) -> (f64, f64, f64) {
-        let stretch = self.calibration.stretch[Calibration::class_of(expected.observations)];
+        let stretch = self.calibration.stretch[expected.basis];
         let at = |p: f64| expected.survival.quantile(p);
         let middle = at(0.5);
         let low = middle - (middle - at(TAIL)) * stretch.low.exp();
@@ -398,6 +400,7 @@
             survival: pool.survival(),
             level: found.0,
             observations: found.1,
+            basis: Calibration::basis(found.1, track.seen),
             common: common.sqrt(),
             own: within.sqrt(),
         }
--- a/crates/forecast/src/snapshot.rs
+++ b/crates/forecast/src/snapshot.rs
@@ -7,7 +7,7 @@
 //! The checksum is that of the compressed bytes. A text that is torn, of another version or not one of
 //! these is refused as a whole.
 
-use crate::calibration::Stretch;
+use crate::calibration::{BASES, Stretch};
 use crate::cell::{Cell, Mean};
 use crate::learner::{Key, Learner, Limits};
 use crate::sample::Sample;
@@ -195,7 +195,7 @@
             && [0, 1, 4, 6, 7, 8, 9].iter().all(|at| cell.numbers[*at] >= 0.0)
     };
     let stretched = body.stretch.iter().all(|(low, high)| low.is_finite() && high.is_finite());
-    if !body.cells.iter().all(sound) || !stretched || body.stretch.len() > 3 {
+    if !body.cells.iter().all(sound) || !stretched || body.stretch.len() > BASES {
         return Err(Unusable::Damaged("its numbers make no sense"));
     }
     Ok(Snapshot(body))
--- a/src/coordination/forecasts.rs
+++ b/src/coordination/forecasts.rs
@@ -165,6 +165,7 @@
         view::ForecastRecord {
             run_times_judged: runs.judged,
             inside_interval: runs.coverage(),
+            within_quarter: runs.near(),
             promises_judged: promises.judged,
             promises_kept: (promises.judged > 0).then_some(kept),
         }
--- a/src/protocol/users.rs
+++ b/src/protocol/users.rs
@@ -259,6 +259,9 @@
 pub struct ForecastRecord {
     pub run_times_judged: u64,
     pub inside_interval: Option<f64>,
+    /// The share of middles within a quarter of the run time.
+    #[serde(default)]
+    pub within_quarter: Option<f64>,
     pub promises_judged: u64,
     pub promises_kept: Option<f64>,
 }
