Let the simulated world's tests share how a plain job looks

Need: rules and forecasts described the same job twice.

Change: spec moves to tests/world/users.rs.

--- a/tests/forecasts.rs
+++ b/tests/forecasts.rs
@@ -6,29 +6,11 @@
 use crowstall::model::*;
 use crowstall_forecast::snapshot;
 use rand::Rng;
+use world::users::spec;
 use world::{Cut, Host, SEC, World};
 
 fn array(id: u32, tasks: u32, estimate_s: f64) -> JobSpec {
-    JobSpec {
-        id: JobId::new(&format!("wk-{id:06}")),
-        class: Name::new("batch"),
-        team: Name::new("free"),
-        kind: JobKind::Array,
-        priority: Priority::Normal,
-        tasks,
-        needs: Resources { cpus: Amount::new(1.0), gpus: Amount::new(0.0), memory: Amount::new(1.0) },
-        image: Name::new("img-1"),
-        image_gb: 0.5,
-        types: None,
-        zone: None,
-        one_zone: false,
-        spread: false,
-        spot: false,
-        estimate_s,
-        checkpoint_s: 0.0,
-        save_s: 0.0,
-        deadline_s: None,
-    }
+    JobSpec { estimate_s, ..spec(id, JobKind::Array, "free", tasks, 1.0) }
 }
 
 /// Jobs of 6 tasks that take 8 s each, though their owners say 24 s, and one that is asked about.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -5,31 +5,9 @@
 
 use crowstall::model::*;
 use rand::Rng;
+use world::users::spec;
 use world::{Cut, Host, Mutation, SEC, World};
 
-fn spec(id: u32, kind: JobKind, team: &str, tasks: u32, cpus: f64) -> JobSpec {
-    JobSpec {
-        id: JobId::new(&format!("wk-{id:06}")),
-        class: Name::new(if kind == JobKind::Array { "batch" } else { "front" }),
-        team: Name::new(team),
-        kind,
-        priority: if kind == JobKind::Array { Priority::Normal } else { Priority::High },
-        tasks,
-        needs: Resources { cpus: Amount::new(cpus), gpus: Amount::new(0.0), memory: Amount::new(cpus) },
-        image: Name::new("img-1"),
-        image_gb: 0.5,
-        types: None,
-        zone: None,
-        one_zone: false,
-        spread: false,
-        spot: false,
-        estimate_s: 5.0,
-        checkpoint_s: 0.0,
-        save_s: 0.0,
-        deadline_s: None,
-    }
-}
-
 fn add_jobs(world: &mut World, count: u32, span: u64) {
     for id in 0..count {
         let service = world.rng.random_bool(0.3);
--- a/tests/world/users.rs
+++ b/tests/world/users.rs
@@ -30,6 +30,30 @@
     Stranger,
 }
 
+/// A plain job; an array's tasks are thought to take 5 s.
+pub fn spec(id: u32, kind: JobKind, team: &str, tasks: u32, cpus: f64) -> JobSpec {
+    JobSpec {
+        id: JobId::new(&format!("wk-{id:06}")),
+        class: Name::new(if kind == JobKind::Array { "batch" } else { "front" }),
+        team: Name::new(team),
+        kind,
+        priority: if kind == JobKind::Array { Priority::Normal } else { Priority::High },
+        tasks,
+        needs: Resources { cpus: Amount::new(cpus), gpus: Amount::new(0.0), memory: Amount::new(cpus) },
+        image: Name::new("img-1"),
+        image_gb: 0.5,
+        types: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: false,
+        estimate_s: 5.0,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        deadline_s: None,
+    }
+}
+
 impl World {
     pub fn add_user(&mut self, spec: JobSpec, run: u64, submit_at: u64, cancel_after: Option<u64>, fails: bool) {
         let user = self.users.len();
