Share the order of urgency, the quickest fetch and a history line's work

Need: reading the whole change once more: forecasts wrote again how the fleet puts jobs in order and reckons the quickest fetch, and the benchmark how a replay makes a task of a line.

Change: Shard::by_urgency, Cloud::least_fetch and Line::work serve both; a new cell's bytes are counted when it is made instead of guessed from its weight; JobTrack::seen, which nobody called, is gone; a comment said the opposite of what its line does.

--- a/crates/forecast/benches/learning.rs
+++ b/crates/forecast/benches/learning.rs
@@ -3,19 +3,9 @@
 
 use criterion::{BatchSize, BenchmarkId, Criterion, criterion_group, criterion_main};
 use crowstall_forecast::replay::{Line, Replay};
-use crowstall_forecast::{Attempt, End, JobTrack, Learner, Limits, Name, Span, Time, Work, snapshot, standin};
+use crowstall_forecast::{Attempt, End, JobTrack, Learner, Limits, Span, Time, Work, snapshot, standin};
 use std::hint::black_box;
 
-fn work(line: &Line) -> Work {
-    Work {
-        team: Name::new(&line.team),
-        class: Name::new(&line.class),
-        machine: Name::new(&line.machine),
-        tasks: line.tasks,
-        estimate: Span::secs(line.estimate_s),
-    }
-}
-
 fn learned(count: usize) -> (Learner, Vec<Line>) {
     let mut replay = Replay::new(Limits::default());
     let mut history = standin::History::new(7);
@@ -29,7 +19,7 @@
     for count in [100, 10_000, 1_000_000] {
         let (learner, next) = learned(count);
         let now = Time::ZERO + Span::secs(next[0].at_s);
-        let works: Vec<Work> = next.iter().map(work).collect();
+        let works: Vec<Work> = next.iter().map(Line::work).collect();
         let text = snapshot::write(&learner, now, 1 << 20).unwrap_or_default();
         let small = snapshot::write(&learner, now, 4000).unwrap_or_default();
         let (memory, kinds) = (learner.memory(), learner.kinds());
--- a/crates/forecast/src/learner.rs
+++ b/crates/forecast/src/learner.rs
@@ -67,13 +67,6 @@
     missed: Mean,
 }
 
-impl JobTrack {
-    /// How many attempts it has taken in.
-    pub fn seen(&self) -> u32 {
-        self.seen
-    }
-}
-
 /// How finely an answer could tell kinds of work apart.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -277,7 +270,7 @@
             ran = expected.location + in_spreads * expected.spread;
         } else {
             // Expected to have run as long as others that got as far (J. Buckley and I. James, "Linear
-            // regression with censored data", 1979). Never as long as it was seen to run.
+            // regression with censored data", 1979). Never for less time than it was seen to.
             evidence = expected.survival.share_below(in_spreads);
             in_spreads = expected.survival.mean_beyond(in_spreads).min(FARTHEST);
             ran = ran.max(expected.location + in_spreads * expected.spread);
@@ -301,10 +294,11 @@
             };
             let key_bytes = key.text_bytes();
             let cell = self.cells.entry(key).or_insert_with(|| {
-                self.bytes += key_bytes;
-                Box::default()
+                let cell = Box::<Cell>::default();
+                self.bytes += key_bytes + cell.bytes();
+                cell
             });
-            let before = if cell.weight > 0.0 { cell.bytes() } else { 0 };
+            let before = cell.bytes();
             cell.learn(&seen, now, self.limits.half_life);
             self.bytes = self.bytes + cell.bytes() - before;
         }
@@ -447,7 +441,7 @@
         self.count();
     }
 
-    /// Takes over limits, as after a restart with other settings.
+    /// Holds to the limits again, after cells came from elsewhere.
     pub(crate) fn bound(&mut self, now: Time) {
         self.count();
         self.keep_within_limits(now);
--- a/crates/forecast/src/replay.rs
+++ b/crates/forecast/src/replay.rs
@@ -29,6 +29,19 @@
     pub truth_s: Option<f64>,
 }
 
+impl Line {
+    /// What its task was.
+    pub fn work(&self) -> Work {
+        Work {
+            team: Name::new(&self.team),
+            class: Name::new(&self.class),
+            machine: Name::new(&self.machine),
+            tasks: self.tasks,
+            estimate: Span::secs(self.estimate_s),
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum LineEnd {
@@ -110,13 +123,7 @@
 
     pub fn line(&mut self, line: &Line) {
         let now = Time::ZERO + Span::secs(line.at_s);
-        let work = Work {
-            team: Name::new(&line.team),
-            class: Name::new(&line.class),
-            machine: Name::new(&line.machine),
-            tasks: line.tasks,
-            estimate: Span::secs(line.estimate_s),
-        };
+        let work = line.work();
         if self.jobs.len() >= MOST_JOBS {
             self.jobs.retain(|_, job| line.at_s - job.last_s < FORGOTTEN);
             if self.jobs.len() >= MOST_JOBS {
--- a/src/coordination/binding.rs
+++ b/src/coordination/binding.rs
@@ -102,6 +102,13 @@
         self.line.jobs.clone()
     }
 
+    /// All jobs that are not ending, the most urgent first, whether anything of them can be started or not.
+    pub fn by_urgency(&self, cfg: &Settings, day_ms: u64) -> Vec<&Job> {
+        let mut jobs: Vec<&Job> = self.jobs.values().filter(|job| job.ending.is_none()).collect();
+        jobs.sort_by_key(|job| (job.spec.priority, job.left_ms(cfg, day_ms), &job.order));
+        jobs
+    }
+
     fn in_order(&self, market: &Market) -> Vec<JobId> {
         let mut usage: HashMap<&Name, Resources> = HashMap::new();
         let mut line: Vec<_> = self
--- a/src/coordination/cloud.rs
+++ b/src/coordination/cloud.rs
@@ -59,6 +59,11 @@
         }
     }
 
+    /// How many seconds an image takes to be fetched where that is quickest; without end if no type is known.
+    pub fn least_fetch(&self, image_gb: f64) -> f64 {
+        self.types.values().map(|kind| image_gb / kind.fetch_gb_per_s).fold(f64::MAX, f64::min)
+    }
+
     /// How many calls a second this node may make. The cloud allows bursts of two seconds' worth.
     pub fn set_share(&mut self, rate: f64) {
         self.budget.set_rate(rate, 2.0 * rate);
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -128,8 +128,7 @@
 
     /// How many tasks each job should have room for at once, from the queue's front.
     fn demands(&self, shard: &Shard) -> Vec<Demand> {
-        let mut jobs: Vec<_> = shard.jobs.values().filter(|job| job.ending.is_none()).collect();
-        jobs.sort_by_key(|job| (job.spec.priority, job.left_ms(&self.cfg, self.day_ms), &job.order));
+        let jobs = shard.by_urgency(&self.cfg, self.day_ms);
         let mut demands = Vec::new();
         let mut used: HashMap<&Name, Resources> = HashMap::new();
         let mut services = 0;
@@ -200,7 +199,7 @@
         let Some(left) = job.time_left(&self.cfg, self.day_ms) else { return (2, 2) };
         let types = || self.cloud.catalog.iter().flatten();
         let boot = types().map(|kind| kind.boot.as_secs()).fold(f64::MAX, f64::min);
-        let fetch = types().map(|kind| job.spec.image_gb / kind.fetch_gb_per_s).fold(f64::MAX, f64::min);
+        let fetch = self.cloud.least_fetch(job.spec.image_gb);
         let target = |usable: f64| (usable / job.run_time()).floor().clamp(1.0, 1000.0) as u32;
         (target(left * USABLE - fetch), target(left * USABLE - fetch - boot))
     }
--- a/src/coordination/forecasts.rs
+++ b/src/coordination/forecasts.rs
@@ -140,10 +140,8 @@
             Some(round) => round,
             None => {
                 self.made = now;
-                let mut line: Vec<&Job> = shard.jobs.values().filter(|job| job.ending.is_none()).collect();
-                line.retain(|job| job.spec.kind == JobKind::Array);
-                line.sort_by_key(|job| (job.spec.priority, job.left_ms(cfg, day_ms), &job.order));
-                let line: Vec<JobId> = line.into_iter().map(|job| job.spec.id.clone()).collect();
+                let arrays = shard.by_urgency(cfg, day_ms).into_iter().filter(|job| job.spec.kind == JobKind::Array);
+                let line: Vec<JobId> = arrays.map(|job| job.spec.id.clone()).collect();
                 Round { line: line.into_iter(), stock: Stock::of(shard, &cloud.types, now), ahead_cpu_s: 0.0 }
             }
         };
@@ -179,7 +177,7 @@
         let cpus = job.spec.needs.cpus.value();
         let running = running_times(shard, job, now);
         let room = round.stock.room(&job.spec, cfg);
-        let fetch = cloud.types.values().map(|kind| job.spec.image_gb / kind.fetch_gb_per_s).fold(f64::MAX, f64::min);
+        let fetch = cloud.least_fetch(job.spec.image_gb);
         let fetch = if fetch < f64::MAX { Span::secs(fetch) } else { Span::ZERO };
         let pending = job.pending.len() + job.unlocated.len();
         let ahead_cpu_s = round.ahead_cpu_s;
