Give the controller, its events and ordered machines files of their own

Change: moves only. Controller and what it is made of leave mod.rs for controller.rs, the events and who waits for an answer for events.rs; rentals and booting machines lie in orders.rs, so that boots, cloud and shard import in one direction; to_value lies with the records. Measured: nothing to measure, no behaviour changed.

--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -92,3 +92,9 @@
     pub spot: bool,
     pub addr: String,
 }
+
+/// A record as it goes into the state service.
+pub fn to_value(record: &impl serde::Serialize) -> serde_json::Value {
+    // Records have text keys and finite numbers only, so this cannot fail.
+    serde_json::to_value(record).unwrap_or_default()
+}
--- a/src/coordination/boots.rs
+++ b/src/coordination/boots.rs
@@ -1,7 +1,9 @@
 //! What is seen of machines' boots, by type and zone: the catalog's times hold on most days, but there
 //! are nights when machines come up late, at once, or never.
 
-use super::*;
+use crate::model::{MachineType, Name};
+use crate::time::{Span, Time};
+use std::collections::{HashMap, VecDeque};
 
 /// For how long a boot tells something about the next one.
 const MEMORY: Span = Span::millis(120_000);
@@ -52,39 +54,9 @@
 }
 
 /// How long an overdue machine is waited for, in the hope that it only comes late, where all do.
-fn patience(kind: &MachineType, all_late: bool) -> Span {
+pub(super) fn patience(kind: &MachineType, all_late: bool) -> Span {
     match all_late {
         true => kind.boot.times(6.0) + Span::millis(30_000),
         false => kind.boot.times(2.5) + Span::millis(10_000),
     }
 }
-
-impl Controller {
-    /// Finds machines that are overdue, and gives up those that were waited for long enough.
-    pub(super) fn judge_boots(&mut self, id: ShardId) {
-        let now = self.now;
-        let Some(shard) = self.shards.get_mut(&id) else { return };
-        for (name, machine) in &mut shard.booting {
-            let Some(kind) = self.cloud.types.get(&machine.kind) else { continue };
-            let age = now.since(machine.since);
-            if age > due(kind) && !machine.overdue {
-                log::debug!("machine {name} ({}, {}) is overdue", machine.kind, machine.zone);
-                machine.overdue = true;
-                self.cloud.boots.note(&machine.kind, &machine.zone, false, now);
-            }
-            // Nobody is waited for less than until overdue, so the others need no look at the history.
-            machine.deleting |= machine.overdue && age > patience(kind, self.cloud.boots.all_late(kind, now));
-        }
-    }
-
-    /// Whether a machine that is not up yet counts as room: one that is overdue may never come and is
-    /// replaced elsewhere; but not where everything is late, or the fleet would run away.
-    pub(super) fn is_awaited(&self, machine: &super::shard::Booting) -> bool {
-        let Some(kind) = self.cloud.types.get(&machine.kind) else { return false };
-        let in_hope = || {
-            self.now.since(machine.since) < kind.boot.times(5.0) + Span::millis(10_000)
-                && self.cloud.boots.all_late(kind, self.now)
-        };
-        !machine.deleting && (!machine.overdue || in_hope())
-    }
-}
--- a/src/coordination/cloud.rs
+++ b/src/coordination/cloud.rs
@@ -1,7 +1,9 @@
 //! Calls to the cloud: the catalog, rentals, deletions and the machine list, within what the cloud
 //! allows, and what follows from their answers.
 
-use super::shard::{Booting, Shard};
+use super::boots::{Boots, due, patience};
+use super::orders::{Booting, Rental};
+use super::shard::Shard;
 use super::*;
 use crate::protocol::cloud::{Listed, MOST_DELETED};
 
@@ -10,22 +12,6 @@
 /// How long a refused kind of machine is not asked for again; doubled with each refusal.
 const REFUSED: Span = Span::millis(6_000);
 
-/// A rental request that has no final answer yet.
-pub(super) struct Rental {
-    pub kind: Name,
-    pub zone: Name,
-    pub spot: bool,
-    pub count: u32,
-    pub asked: Time,
-    pub in_flight: bool,
-}
-
-impl Rental {
-    pub fn is_of(&self, kind: &Name, zone: &Name, spot: bool) -> bool {
-        self.kind == *kind && self.zone == *zone && self.spot == spot
-    }
-}
-
 pub(super) struct Cloud {
     pub catalog: Option<Vec<MachineType>>,
     pub types: HashMap<Name, MachineType>,
@@ -38,7 +24,7 @@
     refused: HashMap<(Name, Name, bool), (Time, u32)>,
     pub planned_at: Time,
     pub purging: bool,
-    pub boots: super::boots::Boots,
+    pub boots: Boots,
 }
 
 impl Cloud {
@@ -268,6 +254,34 @@
             }
         }
     }
+
+    /// Finds machines that are overdue, and gives up those that were waited for long enough.
+    pub(super) fn judge_boots(&mut self, id: ShardId) {
+        let now = self.now;
+        let Some(shard) = self.shards.get_mut(&id) else { return };
+        for (name, machine) in &mut shard.booting {
+            let Some(kind) = self.cloud.types.get(&machine.kind) else { continue };
+            let age = now.since(machine.since);
+            if age > due(kind) && !machine.overdue {
+                log::debug!("machine {name} ({}, {}) is overdue", machine.kind, machine.zone);
+                machine.overdue = true;
+                self.cloud.boots.note(&machine.kind, &machine.zone, false, now);
+            }
+            // Nobody is waited for less than until overdue, so the others need no look at the history.
+            machine.deleting |= machine.overdue && age > patience(kind, self.cloud.boots.all_late(kind, now));
+        }
+    }
+
+    /// Whether a machine that is not up yet counts as room: one that is overdue may never come and is
+    /// replaced elsewhere; but not where everything is late, or the fleet would run away.
+    pub(super) fn is_awaited(&self, machine: &Booting) -> bool {
+        let Some(kind) = self.cloud.types.get(&machine.kind) else { return false };
+        let in_hope = || {
+            self.now.since(machine.since) < kind.boot.times(5.0) + Span::millis(10_000)
+                && self.cloud.boots.all_late(kind, self.now)
+        };
+        !machine.deleting && (!machine.overdue || in_hope())
+    }
 }
 
 impl Shard {
--- /dev/null
+++ b/src/coordination/controller.rs
@@ -0,0 +1,511 @@
+//! One controller: its state, and which part takes which event.
+
+use super::*;
+
+/// What is known of another controller.
+pub(super) struct PeerView {
+    pub(super) seen: Time,
+    /// Since when it has been ready without a break.
+    pub(super) ready_since: Option<Time>,
+    pub(super) entitled: bool,
+    pub(super) held: Vec<(ShardId, Revision)>,
+    pub(super) spare: Vec<crate::protocol::peers::Offer>,
+}
+
+impl PeerView {
+    /// It was heard of lately.
+    pub(super) fn is_heard(&self, now: Time) -> bool {
+        now.since(self.seen) < SILENT
+    }
+}
+
+/// Who holds a shard, as last read from the state service or heard.
+#[derive(Clone, Default)]
+pub(super) struct ShardView {
+    pub(super) holder: Option<NodeLabel>,
+    pub(super) claim: Revision,
+    /// When this node first saw that claim.
+    pub(super) claim_seen: Time,
+    pub(super) absent_since: Option<Time>,
+    /// When this node released it to another.
+    pub(super) released: Option<Time>,
+}
+
+/// This node's lease at the state service.
+pub(super) struct Hold {
+    pub(super) id: HoldId,
+    /// Until when everything attached to it surely stands. Measured from when the renewal was
+    /// sent, so that a slow answer never lengthens it.
+    pub(super) right_until: Time,
+}
+
+/// Calls to the state service and what to do with their answers.
+pub(super) enum StateWork {
+    Grant {
+        sent: Time,
+    },
+    Touch {
+        hold: HoldId,
+        sent: Time,
+    },
+    Watch,
+    Claim {
+        shard: ShardId,
+        hold: HoldId,
+    },
+    Release {
+        shard: ShardId,
+        claim: Revision,
+        /// Nobody in particular, if it can't be served here.
+        to: Option<NodeLabel>,
+    },
+    LoadJobs {
+        shard: ShardId,
+        claim: Revision,
+    },
+    LoadMachines {
+        shard: ShardId,
+        claim: Revision,
+    },
+    Lookup(Box<users::Lookup>),
+    /// A note of a job accepted by another node: its record is read, then the note removed.
+    ReadNoted {
+        shard: ShardId,
+        claim: Revision,
+        note: String,
+        version: Revision,
+    },
+    RemoveNote {
+        note: String,
+    },
+    Accept {
+        shard: ShardId,
+        claim: Revision,
+        record: Box<crate::bookkeeping::records::LiveRecord>,
+    },
+    Job {
+        shard: ShardId,
+        claim: Revision,
+        job: JobId,
+        work: ledger::JobWrite,
+    },
+    FindMachine {
+        ask: Asker,
+        report: Box<crate::protocol::workers::Report>,
+    },
+    Adopt {
+        shard: ShardId,
+        claim: Revision,
+        ask: Asker,
+        report: Box<crate::protocol::workers::Report>,
+    },
+    Forget {
+        shard: ShardId,
+        claim: Revision,
+        machine: MachineId,
+        version: Revision,
+    },
+    Move {
+        shard: ShardId,
+        claim: Revision,
+        machine: MachineId,
+        to: ShardId,
+    },
+    FetchMachine {
+        shard: ShardId,
+        claim: Revision,
+    },
+    LoadForecasts {
+        shard: ShardId,
+        claim: Revision,
+    },
+    SaveForecast {
+        shard: ShardId,
+        claim: Revision,
+    },
+}
+
+/// Calls to the cloud and what to do with their answers.
+pub(super) enum CloudWork {
+    Catalog,
+    List { so_far: Vec<crate::protocol::cloud::Listed> },
+    Rent { shard: ShardId, claim: Revision, request: String },
+    Delete { shard: ShardId, claim: Revision, machines: Vec<MachineId> },
+    Purge,
+}
+
+/// A request passed on to the node that can decide it.
+pub(super) struct Forwarded {
+    pub(super) ask: AskId,
+    pub(super) until: Time,
+    pub(super) what: Passed,
+}
+
+/// What was passed on, as far as it still matters when the answer comes, or none does.
+pub(super) enum Passed {
+    /// If the other node can't take it, this one may be able to.
+    Submission(Box<JobSpec>),
+    Question(JobId),
+    Report,
+}
+
+/// One controller.
+pub struct Controller {
+    pub(super) cfg: Settings,
+    pub(super) life: u64,
+    pub(super) now: Time,
+    pub(super) day_ms: u64,
+    pub(super) started: Time,
+    pub(super) out: Vec<Action>,
+    pub(super) next_call: u64,
+    /// Counts attempts and rentals. Never starts over while the process lives, so that names led
+    /// by a claim's revision are unique even if two shards' claims follow one another.
+    pub(super) counter: u64,
+    pub(super) state_work: HashMap<CallNo, StateWork>,
+    pub(super) cloud_work: HashMap<CallNo, CloudWork>,
+    pub(super) worker_work: HashMap<CallNo, (ShardId, Revision, MachineId)>,
+
+    pub(super) hold: Option<Hold>,
+    pub(super) hold_call: bool,
+    pub(super) last_touch: Time,
+    pub(super) last_watch: Time,
+    pub(super) watching: bool,
+    pub(super) last_beat: Time,
+    pub(super) last_probe: Time,
+    pub(super) views: Vec<ShardView>,
+    pub(super) shards: BTreeMap<ShardId, Shard>,
+    pub(super) peers: BTreeMap<NodeLabel, PeerView>,
+
+    pub(super) forwarded: HashMap<u64, Forwarded>,
+    pub(super) accepting: HashMap<JobId, Vec<Asker>>,
+    /// Notes that are being read or removed.
+    pub(super) notes: HashSet<String>,
+    pub(super) ended: Ended,
+    pub(super) job_homes: HashMap<JobId, ShardId>,
+    pub(super) machine_homes: HashMap<MachineId, ShardId>,
+    pub(super) detours: HashMap<MachineId, detours::Detour>,
+    pub(super) reluctance: Option<detours::Reluctance>,
+
+    pub(super) requests: Budget,
+    pub(super) writes: Budget,
+    pub(super) cloud: cloud::Cloud,
+    pub(super) forecasts: Option<forecasts::Forecasts>,
+}
+
+/// The newest ended jobs; older ones are read from the state service.
+pub(super) struct Ended {
+    pub(super) jobs: HashMap<JobId, (Final, u32)>,
+    pub(super) order: VecDeque<JobId>,
+    pub(super) most: usize,
+}
+
+impl Ended {
+    pub(super) fn insert(&mut self, job: JobId, state: Final, done: u32) {
+        if self.jobs.insert(job.clone(), (state, done)).is_none() {
+            self.order.push_back(job);
+        }
+        while self.order.len() > self.most {
+            if let Some(oldest) = self.order.pop_front() {
+                self.jobs.remove(&oldest);
+            }
+        }
+    }
+}
+
+/// How many entries the tables of where things are may have before they are started anew.
+pub(super) const MOST_HOMES: usize = 20_000;
+/// How much of what the state service and the cloud allow is shared out evenly among the nodes:
+/// all of them renew leases and read for users, but only those with work change much.
+pub(super) const EVEN_REQUESTS: f64 = 0.6;
+pub(super) const EVEN_CHANGES: f64 = 0.25;
+/// How long another node may take to answer for a user: for a submission not long, since this node
+/// can then still accept it in time.
+pub(super) const FORWARD_TIMEOUT: Span = Span::millis(1500);
+pub(super) const SUBMIT_TIMEOUT: Span = Span::millis(500);
+/// A node that has been silent for so long is not waited for.
+pub(super) const SILENT: Span = Span::millis(1500);
+
+impl Controller {
+    pub fn new(cfg: Settings, life: u64, clock: Clock) -> Controller {
+        let requests = Budget::new(cfg.state_rps, cfg.state_rps);
+        let writes = Budget::new(cfg.state_writes, cfg.state_writes);
+        let mut controller = Controller {
+            life,
+            now: clock.steady,
+            day_ms: clock.day_ms,
+            started: clock.steady,
+            out: Vec::new(),
+            next_call: 1,
+            counter: 0,
+            state_work: HashMap::new(),
+            cloud_work: HashMap::new(),
+            worker_work: HashMap::new(),
+            hold: None,
+            hold_call: false,
+            last_touch: Time::ZERO,
+            last_watch: Time::ZERO,
+            watching: false,
+            last_beat: Time::ZERO,
+            last_probe: Time::ZERO,
+            views: vec![ShardView::default(); cfg.shards as usize],
+            shards: BTreeMap::new(),
+            peers: BTreeMap::new(),
+            forwarded: HashMap::new(),
+            accepting: HashMap::new(),
+            notes: HashSet::new(),
+            ended: Ended { jobs: HashMap::new(), order: VecDeque::new(), most: cfg.own.ended_kept },
+            job_homes: HashMap::new(),
+            machine_homes: HashMap::new(),
+            detours: HashMap::new(),
+            reluctance: None,
+            requests,
+            writes,
+            cloud: cloud::Cloud::new(&cfg),
+            forecasts: forecasts::Forecasts::new(&cfg),
+            cfg,
+        };
+        controller.share_limits();
+        controller
+    }
+
+    /// Takes this node's part of what the state service and the cloud allow all nodes together:
+    /// a small even one for what every node does, the rest for those that hold the teams' shards.
+    pub(super) fn share_limits(&mut self) {
+        let teams = self.cfg.team_shards();
+        let held = self.shards.keys().filter(|shard| shard.0 < teams).count();
+        let part = |even: f64| even / self.cfg.nodes.len() as f64 + (1.0 - even) * held as f64 / f64::from(teams);
+        let requests = self.cfg.state_rps * part(EVEN_REQUESTS);
+        let writes = self.cfg.state_writes * part(EVEN_CHANGES);
+        self.requests.set_rate(requests, requests);
+        self.writes.set_rate(writes, writes);
+        self.cloud.set_share(self.cfg.cloud_rps * part(EVEN_CHANGES));
+    }
+
+    /// Takes one event in and gives back what is to be done about it.
+    pub fn handle(&mut self, clock: Clock, event: Event) -> Vec<Action> {
+        self.now = clock.steady;
+        self.day_ms = clock.day_ms;
+        match event {
+            Event::Ask { id, ask } => self.asked(id, ask),
+            Event::State { call, answer } => {
+                if let Some(work) = self.state_work.remove(&call) {
+                    self.state_answered(work, answer);
+                }
+            }
+            Event::Cloud { call, answer } => {
+                if let Some(work) = self.cloud_work.remove(&call) {
+                    self.cloud_answered(work, answer);
+                }
+            }
+            Event::Worker { call, answer } => {
+                if let Some((shard, claim, machine)) = self.worker_work.remove(&call) {
+                    self.worker_answered(shard, claim, machine, answer);
+                }
+            }
+            Event::Peer(envelope) => self.peer_message(envelope),
+            Event::Tick => self.tick(),
+        }
+        std::mem::take(&mut self.out)
+    }
+
+    /// With one shard for all teams, where jobs and machines are needs no record: its holder knows,
+    /// or reads the records itself, and this node's reads are kept for when it must.
+    pub(super) fn only_shard(&self) -> Option<ShardId> {
+        (self.cfg.team_shards() == 1).then_some(ShardId(0))
+    }
+
+    /// How many jobs and machines were looked at on the path of reports so far: what they cost,
+    /// whatever the clock says.
+    pub fn steps(&self) -> u64 {
+        self.shards.values().map(|shard| shard.steps.get()).sum()
+    }
+
+    /// Whether what this node was given by the state service surely still stands.
+    pub(super) fn entitled(&self) -> bool {
+        self.hold.as_ref().is_some_and(|hold| self.now < hold.right_until)
+    }
+
+    /// How long after the end of the right the workers' leases are still renewed. A takeover can
+    /// follow right on the end of the right, and a job can be cancelled right after that: its
+    /// tasks must be gone within `cancel` all the same: the lease given last has to have run out
+    /// by then, with some time to spare for the worker to notice.
+    pub(super) fn grace(&self) -> Span {
+        self.cfg.cancel - self.cfg.lease.stretched() - Span::millis(2000)
+    }
+
+    pub(super) fn may_renew(&self) -> bool {
+        self.hold.as_ref().is_some_and(|hold| self.now < hold.right_until + self.grace())
+    }
+
+    pub(super) fn reply(&mut self, asker: Asker, reply: Reply) {
+        match asker {
+            Asker::Local(id) => {
+                if reply.retry_after.is_some() {
+                    log::debug!("put off: {}", reply.body);
+                }
+                self.out.push(Action::Reply { id, reply })
+            }
+            Asker::Peer { node, number } => {
+                self.out.push(Action::Send { to: node, message: PeerMessage::Answer { number, reply } })
+            }
+        }
+    }
+
+    pub(super) fn call_no(&mut self) -> CallNo {
+        self.next_call += 1;
+        CallNo(self.next_call)
+    }
+
+    pub(super) fn call_state(&mut self, request: StateCall, work: StateWork) {
+        let call = self.call_no();
+        self.requests.force(self.now, 1.0);
+        self.writes.force(self.now, request.writes() as f64);
+        self.state_work.insert(call, work);
+        self.out.push(Action::State { call, request });
+    }
+
+    pub(super) fn call_cloud(&mut self, request: CloudCall, work: CloudWork) {
+        let call = self.call_no();
+        self.cloud_work.insert(call, work);
+        self.out.push(Action::Cloud { call, request });
+    }
+
+    pub(super) fn call_worker(&mut self, shard: ShardId, machine: &MachineId, addr: SocketAddrV4, request: WorkerCall) {
+        let Some(claim) = self.shards.get(&shard).map(|shard| shard.claim) else { return };
+        let call = self.call_no();
+        self.worker_work.insert(call, (shard, claim, machine.clone()));
+        self.out.push(Action::Worker { call, addr, request });
+    }
+
+    pub(super) fn asked(&mut self, id: AskId, ask: Ask) {
+        match ask {
+            Ask::Fixed(reply) => self.reply(Asker::Local(id), reply),
+            Ask::Up => {
+                let reply = match self.useful() {
+                    true => Reply::json(200, &serde_json::json!({})),
+                    false => Reply::busy("not ready"),
+                };
+                self.reply(Asker::Local(id), reply);
+            }
+            Ask::Report(report) => self.reported(Asker::Local(id), report),
+            Ask::Submit(Ok(spec)) => self.submit(Asker::Local(id), spec),
+            Ask::Submit(Err(bad)) => self.refuse(Asker::Local(id), bad),
+            Ask::Poll(job) => self.poll(Asker::Local(id), job),
+            Ask::Cancel(job) => self.cancel(Asker::Local(id), job),
+            Ask::Forecast(job) => self.forecast(Asker::Local(id), job),
+        }
+    }
+
+    /// Whether users are served well here. During an outage every node is equally bad, and
+    /// staying in the load balancer's list saves its pause afterwards; if others are entitled
+    /// and this one is not, users are better off with them.
+    pub(super) fn useful(&self) -> bool {
+        let others = self.peers.values().any(|peer| peer.entitled && peer.is_heard(self.now));
+        self.cloud.catalog.is_some() && (self.entitled() || (self.hold.is_some() && !others))
+    }
+
+    pub(super) fn state_answered(&mut self, work: StateWork, answer: Result<StateAnswer, CallError>) {
+        if let Err(CallError::Refused { over_limit: true }) = answer {
+            self.requests.exhausted(self.now);
+            self.writes.exhausted(self.now);
+        }
+        match work {
+            StateWork::Grant { sent } => self.granted(sent, answer),
+            StateWork::Touch { hold, sent } => self.touched(hold, sent, answer),
+            StateWork::Watch => self.watched(answer),
+            StateWork::Claim { shard, hold } => self.claimed(shard, hold, answer),
+            StateWork::Release { shard, claim, to } => self.released(shard, claim, to, answer),
+            StateWork::LoadJobs { shard, claim } => self.loaded_jobs(shard, claim, answer),
+            StateWork::LoadMachines { shard, claim } => self.loaded_machines(shard, claim, answer),
+            StateWork::Lookup(lookup) => self.looked_up(*lookup, answer),
+            StateWork::ReadNoted { shard, claim, note, version } => {
+                self.noted_read(shard, claim, note, version, answer)
+            }
+            StateWork::RemoveNote { note } => {
+                self.notes.remove(&note);
+            }
+            StateWork::Accept { shard, claim, record } => self.accept_answered(shard, claim, *record, answer),
+            StateWork::Job { shard, claim, job, work } => self.job_written(shard, claim, job, work, answer),
+            StateWork::FindMachine { ask, report } => self.machine_found(ask, report, answer),
+            StateWork::Adopt { shard, claim, ask, report } => self.adopted(shard, claim, ask, report, answer),
+            StateWork::Forget { shard, claim, machine, version } => {
+                self.machine_forgotten(shard, claim, machine, version, answer)
+            }
+            StateWork::Move { shard, claim, machine, to } => self.moved(shard, claim, machine, to, answer),
+            StateWork::FetchMachine { shard, claim } => self.machine_arrived(shard, claim, answer),
+            StateWork::LoadForecasts { shard, claim } => self.forecasts_loaded(shard, claim, answer),
+            StateWork::SaveForecast { shard, claim } => self.forecast_saved(shard, claim, answer),
+        }
+    }
+
+    pub(super) fn peer_message(&mut self, envelope: Envelope) {
+        let Envelope { from, message } = envelope;
+        if !self.cfg.nodes.contains(&from) || from == self.cfg.label {
+            return;
+        }
+        match message {
+            PeerMessage::Beat { entitled, ready, held, rented, spare } => {
+                self.beat_heard(from, entitled, ready, held, rented, spare)
+            }
+            PeerMessage::Released { shard } => self.shard_released(shard),
+            PeerMessage::Take { machine, shard } => self.machine_wanted(machine, shard),
+            PeerMessage::Moved { machine, shard } => self.machine_moved_in(machine, shard),
+            PeerMessage::Ask { number, shard, ask } => {
+                let asker = Asker::Peer { node: from, number };
+                // A report is answered for longer than the right lasts, see `may_renew`.
+                let renews = matches!(ask, PeerAsk::Report(_)) && self.shards.contains_key(&shard);
+                if !renews && !self.shards.get(&shard).is_some_and(|shard| shard.active) || !self.entitled() {
+                    self.reply(asker, Reply::busy("not held here"));
+                    return;
+                }
+                match ask {
+                    PeerAsk::Submit(spec) => self.submit_here(asker, shard, *spec),
+                    PeerAsk::Poll(job) => self.poll_here(asker, shard, job),
+                    PeerAsk::Cancel(job) => self.cancel_here(asker, shard, job),
+                    PeerAsk::Forecast(job) => self.forecast_here(asker, shard, job),
+                    PeerAsk::Report(report) => self.reported(asker, report),
+                }
+            }
+            PeerMessage::Answer { number, reply } => {
+                if let Some(forwarded) = self.forwarded.remove(&number) {
+                    let asker = Asker::Local(forwarded.ask);
+                    match forwarded.what {
+                        Passed::Submission(spec) if reply.status == 503 => self.submit_from_afar(asker, *spec),
+                        Passed::Question(job) if reply.status == 404 => {
+                            self.job_homes.remove(&job);
+                            self.reply(asker, reply);
+                        }
+                        _ => self.reply(asker, reply),
+                    }
+                }
+            }
+        }
+    }
+
+    pub(super) fn tick(&mut self) {
+        self.share_limits();
+        self.members_tick();
+        let now = self.now;
+        let late: Vec<u64> = self.forwarded.iter().filter(|(_, f)| f.until <= now).map(|(number, _)| *number).collect();
+        for number in late {
+            let Some(forwarded) = self.forwarded.remove(&number) else { continue };
+            let asker = Asker::Local(forwarded.ask);
+            match forwarded.what {
+                Passed::Submission(spec) => self.submit_from_afar(asker, *spec),
+                Passed::Question(_) => self.reply(asker, Reply::busy("the job's node does not answer")),
+                Passed::Report => self.reply(asker, worker_protocol::elsewhere(None)),
+            }
+        }
+        if self.job_homes.len() > MOST_HOMES {
+            self.job_homes.clear();
+        }
+        if self.machine_homes.len() > MOST_HOMES {
+            self.machine_homes.clear();
+        }
+        self.detours_tick();
+        self.workers_tick();
+        self.ledger_tick();
+        self.fleet_tick();
+        self.forecast_tick();
+    }
+}
--- /dev/null
+++ b/src/coordination/events.rs
@@ -0,0 +1,66 @@
+//! What goes into the coordination layer and what comes out of it.
+
+use crate::model::NodeLabel;
+use crate::protocol::cloud::{CloudAnswer, CloudCall};
+use crate::protocol::peers::{Envelope, PeerMessage};
+use crate::protocol::state::{StateAnswer, StateCall};
+use crate::protocol::users::Ask;
+use crate::protocol::workers::{WorkerAnswer, WorkerCall};
+use crate::protocol::{CallError, Reply};
+use crate::time::Time;
+use std::net::SocketAddrV4;
+
+/// A request of a user or a worker that waits for its reply.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct AskId(pub u64);
+
+/// A call to an outside service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct CallNo(pub u64);
+
+/// What both clocks of the process show.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    pub steady: Time,
+    /// The time of day in milliseconds.
+    pub day_ms: u64,
+}
+
+#[derive(Debug)]
+pub enum Event {
+    Ask {
+        id: AskId,
+        ask: Ask,
+    },
+    State {
+        call: CallNo,
+        answer: Result<StateAnswer, CallError>,
+    },
+    Cloud {
+        call: CallNo,
+        answer: Result<CloudAnswer, CallError>,
+    },
+    Worker {
+        call: CallNo,
+        answer: Result<WorkerAnswer, CallError>,
+    },
+    Peer(Envelope),
+    /// Comes about ten times a second.
+    Tick,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    Reply { id: AskId, reply: Reply },
+    State { call: CallNo, request: StateCall },
+    Cloud { call: CallNo, request: CloudCall },
+    Worker { call: CallNo, addr: SocketAddrV4, request: WorkerCall },
+    Send { to: NodeLabel, message: PeerMessage },
+}
+
+/// Who waits for an answer: a client of this node, or another node on behalf of one.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) enum Asker {
+    Local(AskId),
+    Peer { node: NodeLabel, number: u64 },
+}
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -1,7 +1,7 @@
 //! Sizing the fleet: pending plus running work over a per-machine target, rented where it is cheapest
 //! and to be had.
 
-use super::cloud::Rental;
+use super::orders::Rental;
 use super::shard::Shard;
 use super::*;
 use crate::protocol::cloud::MOST_RENTED;
--- a/src/coordination/forecasts.rs
+++ b/src/coordination/forecasts.rs
@@ -3,12 +3,11 @@
 //! written only while the limits leave plenty for what does.
 
 use super::fleet::PLAN_PAUSE;
-use super::members::to_value;
 use super::runs::Runs;
 use super::shard::{Job, Machine, Shard};
 use super::users::live_state;
 use super::*;
-use crate::bookkeeping::records::{self, ForecastRecord};
+use crate::bookkeeping::records::{self, ForecastRecord, to_value};
 use crate::config::ForecastProperties;
 use crate::protocol::state::{Change, Entry};
 use crate::protocol::users::{self as view, ForecastView, Interval, JobState, PromiseView, TaskForecast};
--- a/src/coordination/ledger.rs
+++ b/src/coordination/ledger.rs
@@ -1,9 +1,8 @@
 //! Writing jobs' records: progress in rounds, ends at once.
 
-use super::members::to_value;
 use super::*;
 use crate::bookkeeping::ranges::RangeSet;
-use crate::bookkeeping::records::{self, EndRecord, LiveRecord};
+use crate::bookkeeping::records::{self, EndRecord, LiveRecord, to_value};
 use crate::protocol::state::Change;
 
 /// What of a job's record was written or read.
--- a/src/coordination/members.rs
+++ b/src/coordination/members.rs
@@ -2,7 +2,7 @@
 
 use super::shard::Shard;
 use super::*;
-use crate::bookkeeping::records::{self, LiveRecord, MachineRecord, ShardRecord};
+use crate::bookkeeping::records::{self, LiveRecord, MachineRecord, ShardRecord, to_value};
 use crate::protocol::peers::Offer;
 use crate::protocol::state::{Change, Entry};
 
@@ -425,8 +425,3 @@
         }
     }
 }
-
-pub(super) fn to_value(record: &impl serde::Serialize) -> serde_json::Value {
-    // Records have text keys and finite numbers only, so this cannot fail.
-    serde_json::to_value(record).unwrap_or_default()
-}
--- a/src/coordination/moves.rs
+++ b/src/coordination/moves.rs
@@ -78,7 +78,7 @@
         let key = records::machine_key(machine);
         let request = StateCall::Commit {
             conditions: vec![(records::shard_key(id), shard.claim), (key.clone(), moving.version)],
-            changes: vec![Change::Put { key, value: super::members::to_value(&record), hold: None }],
+            changes: vec![Change::Put { key, value: records::to_value(&record), hold: None }],
         };
         let work = StateWork::Move { shard: id, claim: shard.claim, machine: machine.clone(), to };
         self.call_state(request, work);
--- a/src/coordination/shard.rs
+++ b/src/coordination/shard.rs
@@ -1,6 +1,7 @@
 //! One shard in memory: its jobs, its machines, and what is running where.
 
-use super::Asker;
+use super::events::Asker;
+use super::orders::{Booting, Rental};
 use super::runs::{Progress, Runs, TaskRuns};
 use crate::bookkeeping::ranges::RangeSet;
 use crate::bookkeeping::records::{LiveRecord, MachineRecord};
@@ -40,7 +41,7 @@
     pub refused: bool,
     /// Its user has asked to cancel it, or it is done: nothing is started any more.
     pub ending: Option<Final>,
-    pub cancel_askers: Vec<super::Asker>,
+    pub cancel_askers: Vec<Asker>,
     pub last_write: Time,
     /// Machines on which one of its tasks failed, newest last.
     pub failed_on: Vec<(MachineId, Time)>,
@@ -211,16 +212,6 @@
     }
 }
 
-pub(super) struct Booting {
-    pub kind: Name,
-    pub zone: Name,
-    pub spot: bool,
-    pub since: Time,
-    /// It is not up though it should be.
-    pub overdue: bool,
-    pub deleting: bool,
-}
-
 pub(super) struct Shard {
     pub id: ShardId,
     pub claim: Revision,
@@ -231,7 +222,7 @@
     pub machines: BTreeMap<MachineId, Machine>,
     pub booting: BTreeMap<MachineId, Booting>,
     /// Rentals on the way, by request name.
-    pub renting: BTreeMap<String, super::cloud::Rental>,
+    pub renting: BTreeMap<String, Rental>,
     /// No machine is unproven and no inherited task is left to be found.
     pub settled: bool,
     /// Arrays whose last task has completed and whose end is not being recorded yet.
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -1,9 +1,8 @@
 //! Submitting, asking and cancelling.
 
-use super::members::to_value;
 use super::shard::Job;
 use super::*;
-use crate::bookkeeping::records::{self, EndRecord, LiveRecord};
+use crate::bookkeeping::records::{self, EndRecord, LiveRecord, to_value};
 use crate::protocol::state::Change;
 use crate::protocol::users::{BadJob, JobState, JobView};
 
--- a/src/coordination/workers.rs
+++ b/src/coordination/workers.rs
@@ -86,7 +86,7 @@
         let key = records::machine_key(&report.machine);
         let request = StateCall::Commit {
             conditions: vec![(records::shard_key(shard), claim), (key.clone(), Revision(0))],
-            changes: vec![Change::Put { key, value: super::members::to_value(&record), hold: None }],
+            changes: vec![Change::Put { key, value: records::to_value(&record), hold: None }],
         };
         self.call_state(request, StateWork::Adopt { shard, claim, ask, report });
     }
