--- /dev/null
+++ b/crates/recovery/src/doubt.rs
@@ -0,0 +1,123 @@
+//! What can't be known yet: where tasks of a former holder may still be, and how much a team may be using
+//! there.
+
+use crowstall_model::model::{Amount, JobSpec, MachineId, Name, Resources};
+use std::collections::{BTreeMap, HashMap};
+
+/// What a job's own words can tell machines apart by.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Place {
+    pub kind: Name,
+    pub zone: Name,
+    pub spot: bool,
+}
+
+/// What a team may use at the most, where that is limited.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limit {
+    pub cpus: Option<Amount>,
+    pub gpus: Option<Amount>,
+}
+
+/// More than there can be anywhere, yet little enough to be added up many times.
+const EVERYTHING: Resources =
+    Resources { cpus: Amount(u64::MAX >> 8), gpus: Amount(u64::MAX >> 8), memory: Amount(u64::MAX >> 8) };
+
+#[derive(Default)]
+pub(crate) struct Doubt {
+    unproven: BTreeMap<MachineId, Place>,
+    /// How many unproven machines there are of each kind of place: few entries, whatever the fleet's size.
+    places: BTreeMap<Place, u64>,
+    /// What was found alive of each team on machines as they were proven. It is not taken back when
+    /// those tasks end, see `unseen`.
+    found: HashMap<Name, Resources>,
+}
+
+/// A team's usage where nobody has looked, before what the caller knows of besides is added.
+pub(crate) struct Unseen {
+    rooms: Resources,
+    most: Option<Resources>,
+}
+
+impl Unseen {
+    pub(crate) fn plus_others(self, others: Resources) -> Resources {
+        let rooms = self.rooms.plus(&others);
+        match self.most {
+            Some(most) => Resources {
+                cpus: rooms.cpus.min(most.cpus),
+                gpus: rooms.gpus.min(most.gpus),
+                memory: rooms.memory.min(most.memory),
+            },
+            None => rooms,
+        }
+    }
+}
+
+impl Doubt {
+    pub(crate) fn add(&mut self, id: MachineId, place: Place) {
+        if self.unproven.insert(id, place.clone()).is_none() {
+            *self.places.entry(place).or_default() += 1;
+        }
+    }
+
+    /// Takes a machine out. Whether it was the last of its kind of place: only then can there be less
+    /// doubt about any job than before.
+    pub(crate) fn remove(&mut self, id: &MachineId) -> bool {
+        let Some(place) = self.unproven.remove(id) else { return false };
+        let Some(count) = self.places.get_mut(&place) else { return false };
+        *count -= 1;
+        let last = *count == 0;
+        if last {
+            self.places.remove(&place);
+        }
+        last
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.unproven.len()
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.unproven.is_empty()
+    }
+
+    pub(crate) fn found(&mut self, team: &Name, needs: &Resources) {
+        let found = self.found.entry(team.clone()).or_default();
+        *found = found.plus(needs);
+    }
+
+    /// A holder starts a task only where its job allows it, so it can't be anywhere else.
+    pub(crate) fn may_hide(&self, job: &JobSpec, there: impl Fn(&Place) -> bool) -> bool {
+        self.places.keys().any(|place| there(place) && job.allows(&place.kind, &place.zone, place.spot))
+    }
+
+    /// All rooms that nobody has looked into, but no more than the team's limit less what was found.
+    ///
+    /// When the last former holder started its last task, everything that it and those before it had
+    /// started and that is alive now was alive, or on its way and booked: what was found alive and what is
+    /// still hidden were there at the same time. Together they were within the limit then, and have only
+    /// become less. So the hidden part is at most the limit less what was found, also after some of
+    /// the latter has ended; that is why an end gives room for a new start.
+    pub(crate) fn unseen(
+        &self,
+        team: &Name,
+        limit: Option<Limit>,
+        room: impl Fn(&Name) -> Option<Resources>,
+    ) -> Unseen {
+        let rooms = self.places.iter().fold(Resources::default(), |sum, (place, count)| {
+            let room = room(&place.kind).unwrap_or(EVERYTHING);
+            let times = |amount: Amount| Amount(amount.0.saturating_mul(*count).min(EVERYTHING.cpus.0));
+            sum.plus(&Resources { cpus: times(room.cpus), gpus: times(room.gpus), memory: times(room.memory) })
+        });
+        let most = limit.map(|limit| {
+            let found = self.found.get(team).copied().unwrap_or_default();
+            Resources {
+                cpus: limit.cpus.unwrap_or(EVERYTHING.cpus),
+                gpus: limit.gpus.unwrap_or(EVERYTHING.gpus),
+                memory: EVERYTHING.memory,
+            }
+            .minus(&found)
+        });
+        Unseen { rooms, most }
+    }
+}
--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -5,10 +5,12 @@
 //! single transaction, so that a reader that asks for `live` first and `end` second sees it.
 //! `machine/NAME` says which shard a machine belongs to. `shard/new/N/JOB` tells the holder of shard N
 //! of a job that another node accepted for it; it sorts after all shards and is read along with them.
+//! `shard/last/N` outlives the claims on shard N and says by which limits its holders went.
 //! `forecast/N` is what the holders of shard N have learned of run times: nothing depends on it.
 
 use crate::model::{Final, JobId, JobSpec, MachineId, Name, NodeLabel, ShardId};
 use serde::{Deserialize, Serialize};
+use std::net::SocketAddrV4;
 
 pub const SHARDS: &str = "shard/";
 const NOTES: &str = "shard/new/";
@@ -20,6 +22,11 @@
     format!("{SHARDS}{shard}")
 }
 
+/// Where the last holders of a shard leave what the next one has to know.
+pub fn last_key(shard: ShardId) -> String {
+    format!("{SHARDS}last/{shard}")
+}
+
 /// Where a node that does not hold a shard notes that it has accepted a job for it.
 pub fn note_key(shard: ShardId, job: &JobId) -> String {
     format!("{NOTES}{shard}/{job}")
@@ -53,6 +60,17 @@
     pub node: NodeLabel,
     /// Tells one life of a process from the next, since labels stay the same.
     pub life: u64,
+    /// Where that process listens for users and workers.
+    #[serde(default)]
+    pub front: Option<SocketAddrV4>,
+}
+
+/// What a shard's holders went by. It outlives their claims.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LastRecord {
+    /// The digest of the limits of teams within which everything was started that may still run.
+    /// None if holders with several limits may have started it.
+    pub limits: Option<String>,
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/src/config.rs
+++ b/src/config.rs
@@ -3,10 +3,11 @@
 use crate::model::{Amount, Name, NodeIx, NodeLabel};
 use crate::time::Span;
 use serde::Deserialize;
+use sha2::{Digest, Sha256};
 use std::collections::BTreeMap;
 use std::fmt;
 use std::net::SocketAddrV4;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 /// Why the program cannot start, in one line.
 #[derive(Debug)]
@@ -20,6 +21,30 @@
 
 impl std::error::Error for ConfigError {}
 
+impl ConfigError {
+    fn within(self, file: &Path) -> ConfigError {
+        ConfigError(format!("{}: {}", file.display(), self.0))
+    }
+}
+
+fn parse_properties(text: &str) -> Result<BTreeMap<String, String>, ConfigError> {
+    let table = java_properties::read(text.as_bytes()).map_err(|error| ConfigError(format!("properties: {error}")))?;
+    Ok(table.into_iter().collect())
+}
+
+/// The same for the same limits in whatever order they are written, and surely another for others.
+fn digest_of(teams: &BTreeMap<Name, TeamLimits>) -> String {
+    let mut hasher = Sha256::new();
+    for (name, limits) in teams {
+        let most = |limit: Option<Amount>| limit.map_or(u64::MAX, |most| most.0).to_be_bytes();
+        hasher.update((name.as_str().len() as u64).to_be_bytes());
+        hasher.update(name.as_str());
+        hasher.update(most(limits.cpus_max));
+        hasher.update(most(limits.gpus_max));
+    }
+    hasher.finalize().iter().take(16).map(|byte| format!("{byte:02x}")).collect()
+}
+
 #[derive(Deserialize)]
 struct File {
     label: String,
@@ -149,6 +174,8 @@
     pub cloud_rps: f64,
     pub list_lag: Span,
     pub max_sockets: usize,
+    /// Tells whether two controllers go by the same limits of teams.
+    pub limits_digest: String,
     pub own: Properties,
 }
 
@@ -172,6 +199,24 @@
     /// How many of the newest ended jobs are kept in memory.
     pub ended_kept: usize,
     pub forecast: ForecastProperties,
+    pub recovery: RecoveryProperties,
+}
+
+/// Coming back after a change of hands.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RecoveryProperties {
+    /// A restarted controller takes its own claims over at once.
+    pub reclaim: bool,
+    /// What may be started is decided job by job and team by team, not for all at once.
+    pub piecewise: bool,
+    /// How many machines are asked at a time.
+    pub asks: usize,
+}
+
+impl Default for RecoveryProperties {
+    fn default() -> RecoveryProperties {
+        RecoveryProperties { reclaim: false, piecewise: false, asks: 64 }
+    }
 }
 
 /// Learning run times and promising finish times.
@@ -215,6 +260,7 @@
             team_shards: 1,
             ended_kept: 2000,
             forecast: ForecastProperties::default(),
+            recovery: RecoveryProperties::default(),
         }
     }
 
@@ -261,6 +307,12 @@
                 let classes = value.split(',').map(str::trim).filter(|class| !class.is_empty());
                 self.forecast.forget = classes.map(Name::new).collect();
             }
+            "recovery.reclaim" => self.recovery.reclaim = switch()?,
+            "recovery.piecewise" => self.recovery.piecewise = switch()?,
+            "recovery.asks" => match value.parse::<usize>() {
+                Ok(n) if (1..=1000).contains(&n) => self.recovery.asks = n,
+                _ => return Err(bad("a whole number from 1 to 1000")),
+            },
             _ => return Err(ConfigError(format!("property {key}: no such property"))),
         }
         Ok(())
@@ -273,17 +325,28 @@
         self.own.team_shards.min(self.shards)
     }
 
-    /// Reads both files; the properties may be absent.
-    pub fn load(path: &Path, properties: Option<&Path>) -> Result<Settings, ConfigError> {
+    /// Reads the platform's file and the operators' own, of which there may be several or none.
+    pub fn load(path: &Path, properties: &[PathBuf]) -> Result<Settings, ConfigError> {
         let read = |path: &Path| {
             std::fs::read_to_string(path).map_err(|error| ConfigError(format!("{}: {error}", path.display())))
         };
-        let own = properties.map(read).transpose()?;
-        Settings::parse(&read(path)?, own.as_deref())
-            .map_err(|error| ConfigError(format!("{}: {}", path.display(), error.0)))
+        let mut own = BTreeMap::new();
+        for file in properties {
+            for (key, value) in parse_properties(&read(file)?).map_err(|error| error.within(file))? {
+                if own.insert(key.clone(), value).is_some() {
+                    return Err(ConfigError(format!("property {key}: set in two files")).within(file));
+                }
+            }
+        }
+        Settings::with_properties(&read(path)?, &own).map_err(|error| error.within(path))
     }
 
     pub fn parse(text: &str, properties: Option<&str>) -> Result<Settings, ConfigError> {
+        let own = properties.map(parse_properties).transpose()?.unwrap_or_default();
+        Settings::with_properties(text, &own)
+    }
+
+    fn with_properties(text: &str, properties: &BTreeMap<String, String>) -> Result<Settings, ConfigError> {
         let file: File = toml::from_str(text).map_err(|error| {
             let line = error.span().map_or(1, |span| text[..span.start].matches('\n').count() + 1);
             ConfigError(format!("line {line}: {}", error.message().replace('\n', " ")))
@@ -347,6 +410,7 @@
                 },
             );
         }
+        let limits_digest = digest_of(&teams);
         let mut finish_within: BTreeMap<Name, Vec<Span>> = BTreeMap::new();
         let mut start_within: BTreeMap<Name, Span> = BTreeMap::new();
         for aim in &facts.objectives {
@@ -365,17 +429,11 @@
         let lease = Span::secs(facts.workers.lease_s);
         let cancel = Span::secs(facts.workers.cancel_s);
         let mut own = Properties::defaults(lease);
-        if let Some(text) = properties {
-            let table =
-                java_properties::read(text.as_bytes()).map_err(|error| ConfigError(format!("properties: {error}")))?;
-            let mut sorted: Vec<_> = table.into_iter().collect();
-            sorted.sort();
-            for (key, value) in sorted {
-                own.set(&key, value.trim())?;
-            }
-            if own.forecast.plans && !own.forecast.enabled {
-                return Err(ConfigError("property forecast.plans: needs forecast.enabled = true".into()));
-            }
+        for (key, value) in properties {
+            own.set(key, value.trim())?;
+        }
+        if own.forecast.plans && !own.forecast.enabled {
+            return Err(ConfigError("property forecast.plans: needs forecast.enabled = true".into()));
         }
         Ok(Settings {
             label,
@@ -391,6 +449,7 @@
             teams,
             finish_within,
             start_within,
+            limits_digest,
             report: Span::secs(facts.workers.report_s),
             lease,
             cancel,
--- a/src/coordination/binding.rs
+++ b/src/coordination/binding.rs
@@ -55,12 +55,18 @@
 
 impl Shard {
     /// Whether the job's other tasks leave room for one more in the zone. Tasks that have not
-    /// been found may be anywhere, so while there are any they count against every zone.
+    /// been found count against every zone where an unproven machine could have them.
     pub fn zone_allows(&self, job: &Job, zone: &Name) -> bool {
         if !job.spec.one_zone && !job.spec.spread {
             return true;
         }
-        let hidden = job.unlocated.len();
+        let (hidden_here, hidden_elsewhere) = match job.unlocated.len() {
+            0 => (0, false),
+            hidden => (
+                if self.recovery.may_hide_in(&job.spec, zone) { hidden } else { 0 },
+                self.recovery.may_hide_outside(&job.spec, zone),
+            ),
+        };
         // Also attempts that are being stopped are on their machines still.
         let mut here = 0;
         let mut elsewhere = 0;
@@ -75,7 +81,7 @@
                 false => elsewhere += count,
             }
         }
-        (!job.spec.one_zone || (elsewhere == 0 && hidden == 0)) && here + hidden < job.spec.zone_cap()
+        (!job.spec.one_zone || (elsewhere == 0 && !hidden_elsewhere)) && here + hidden_here < job.spec.zone_cap()
     }
 
     /// Whether the team's limit leaves room for one more such task.
@@ -116,7 +122,9 @@
             .values()
             .filter(|job| job.next_task(market.now).is_some())
             .filter_map(|job| {
-                let used = usage.entry(&job.spec.team).or_insert_with(|| self.team_usage(&job.spec.team, market.types));
+                let used = usage
+                    .entry(&job.spec.team)
+                    .or_insert_with(|| self.team_usage(&job.spec.team, market.cfg, market.types));
                 // Whose team is at its limit, there is no need to ask each machine about.
                 if !self.quota_allows(job, used, market.cfg) {
                     return None;
@@ -213,7 +221,7 @@
         }
         for job_id in queue {
             let Some(job) = self.jobs.get(&job_id) else { continue };
-            let usage = self.team_usage(&job.spec.team, market.types);
+            let usage = self.team_usage(&job.spec.team, market.cfg, market.types);
             if !self.quota_allows(job, &usage, market.cfg) {
                 continue;
             }
@@ -329,7 +337,7 @@
                 if self.better_elsewhere(job, id, market) {
                     break;
                 }
-                let usage = self.team_usage(&job.spec.team, market.types);
+                let usage = self.team_usage(&job.spec.team, market.cfg, market.types);
                 if !self.quota_allows(job, &usage, market.cfg) || !self.zone_allows(job, &zone) {
                     break;
                 }
@@ -350,6 +358,7 @@
                 };
                 log::debug!("task {task} attempt {no} goes to {id}");
                 self.place(id, no, attempt);
+                self.recovery.bound(now);
                 if let Some(machine) = self.machines.get_mut(id) {
                     machine.note_image(&image, image_gb, kind.cache_gb);
                 }
--- a/src/coordination/controller.rs
+++ b/src/coordination/controller.rs
@@ -27,10 +27,22 @@
     /// When this node first saw that claim.
     pub(super) claim_seen: Time,
     pub(super) absent_since: Option<Time>,
+    /// What the shard's last holders went by and the version of that record, once it was read.
+    pub(super) last: Option<(Revision, Option<String>)>,
     /// When this node released it to another.
     pub(super) released: Option<Time>,
 }
 
+/// What a claim was made with.
+pub(super) struct ClaimTerms {
+    /// What it writes of the limits of teams that it goes by, see `LastRecord`.
+    pub(super) writes: Option<String>,
+    /// All former holders went by the same limits as this node.
+    pub(super) same_limits: bool,
+    /// It takes this node's own claim from before it was started anew.
+    pub(super) reclaimed: bool,
+}
+
 /// This node's lease at the state service.
 pub(super) struct Hold {
     pub(super) id: HoldId,
@@ -52,6 +64,11 @@
     Claim {
         shard: ShardId,
         hold: HoldId,
+        terms: ClaimTerms,
+    },
+    SettleLimits {
+        shard: ShardId,
+        claim: Revision,
     },
     Release {
         shard: ShardId,
@@ -172,6 +189,7 @@
     pub(super) watching: bool,
     pub(super) last_beat: Time,
     pub(super) last_probe: Time,
+    pub(super) last_tick: Time,
     pub(super) views: Vec<ShardView>,
     pub(super) shards: BTreeMap<ShardId, Shard>,
     pub(super) peers: BTreeMap<NodeLabel, PeerView>,
@@ -180,6 +198,10 @@
     pub(super) accepting: HashMap<JobId, Vec<Asker>>,
     /// Notes that are being read or removed.
     pub(super) notes: HashSet<String>,
+    /// Shards of which it is being recorded by which limits they go.
+    pub(super) settling: HashSet<ShardId>,
+    /// How the newest shards that were let go had come back.
+    pub(super) accounts: VecDeque<recovery::Account>,
     pub(super) ended: Ended,
     pub(super) job_homes: HashMap<JobId, ShardId>,
     pub(super) machine_homes: HashMap<MachineId, ShardId>,
@@ -247,12 +269,15 @@
             watching: false,
             last_beat: Time::ZERO,
             last_probe: Time::ZERO,
+            last_tick: clock.steady,
             views: vec![ShardView::default(); cfg.shards as usize],
             shards: BTreeMap::new(),
             peers: BTreeMap::new(),
             forwarded: HashMap::new(),
             accepting: HashMap::new(),
             notes: HashSet::new(),
+            settling: HashSet::new(),
+            accounts: VecDeque::new(),
             ended: Ended { jobs: HashMap::new(), order: VecDeque::new(), most: cfg.own.ended_kept },
             job_homes: HashMap::new(),
             machine_homes: HashMap::new(),
@@ -393,6 +418,10 @@
             Ask::Poll(job) => self.poll(Asker::Local(id), job),
             Ask::Cancel(job) => self.cancel(Asker::Local(id), job),
             Ask::Forecast(job) => self.forecast(Asker::Local(id), job),
+            Ask::Recoveries => {
+                let reply = self.recoveries();
+                self.reply(Asker::Local(id), reply);
+            }
         }
     }
 
@@ -413,7 +442,8 @@
             StateWork::Grant { sent } => self.granted(sent, answer),
             StateWork::Touch { hold, sent } => self.touched(hold, sent, answer),
             StateWork::Watch => self.watched(answer),
-            StateWork::Claim { shard, hold } => self.claimed(shard, hold, answer),
+            StateWork::Claim { shard, hold, terms } => self.claimed(shard, hold, terms, answer),
+            StateWork::SettleLimits { shard, claim } => self.limits_settled(shard, claim, answer),
             StateWork::Release { shard, claim, to } => self.released(shard, claim, to, answer),
             StateWork::LoadJobs { shard, claim } => self.loaded_jobs(shard, claim, answer),
             StateWork::LoadMachines { shard, claim } => self.loaded_machines(shard, claim, answer),
@@ -454,7 +484,7 @@
                 let asker = Asker::Peer { node: from, number };
                 // A report is answered for longer than the right lasts, see `may_renew`.
                 let renews = matches!(ask, PeerAsk::Report(_)) && self.shards.contains_key(&shard);
-                if !renews && !self.shards.get(&shard).is_some_and(|shard| shard.active) || !self.entitled() {
+                if !renews && !self.shards.get(&shard).is_some_and(|shard| shard.is_active()) || !self.entitled() {
                     self.reply(asker, Reply::busy("not held here"));
                     return;
                 }
@@ -503,6 +533,7 @@
             self.machine_homes.clear();
         }
         self.detours_tick();
+        self.recovery_tick();
         self.workers_tick();
         self.ledger_tick();
         self.fleet_tick();
--- a/src/coordination/detours.rs
+++ b/src/coordination/detours.rs
@@ -107,7 +107,7 @@
         }
         let deaf = |shard: &&Shard| {
             let heard = shard.machines.values().map(|machine| machine.seen).max();
-            shard.active && heard.is_some_and(|heard| now.since(heard) >= patience) && !self.claiming(shard.id)
+            shard.is_active() && heard.is_some_and(|heard| now.since(heard) >= patience) && !self.claiming(shard.id)
         };
         let alone: Vec<ShardId> = self.shards.values().filter(deaf).map(|shard| shard.id).collect();
         if alone.is_empty() || !self.entitled() {
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -47,7 +47,7 @@
         if !self.entitled() || self.shards.is_empty() {
             return;
         }
-        let ids: Vec<ShardId> = self.shards.values().filter(|s| s.active).map(|s| s.id).collect();
+        let ids: Vec<ShardId> = self.shards.values().filter(|s| s.is_active()).map(|s| s.id).collect();
         for id in &ids {
             self.return_silent(*id);
             self.delete_machines(*id);
--- a/src/coordination/forecasts.rs
+++ b/src/coordination/forecasts.rs
@@ -350,7 +350,7 @@
         forecasts.books.retain(|id, book| self.shards.get(id).is_some_and(|shard| shard.claim == book.claim));
         // Only the first so many shards take jobs.
         let teams = self.cfg.team_shards();
-        let with_jobs = self.shards.values().filter(|shard| shard.active && shard.id.0 < teams);
+        let with_jobs = self.shards.values().filter(|shard| shard.is_active() && shard.id.0 < teams);
         let active: Vec<ShardId> = with_jobs.map(|shard| shard.id).collect();
         for id in active {
             self.forecast_shard(id, now);
--- a/src/coordination/ledger.rs
+++ b/src/coordination/ledger.rs
@@ -77,7 +77,7 @@
             return;
         }
         let now = self.now;
-        let ids: Vec<ShardId> = self.shards.values().filter(|s| s.active).map(|s| s.id).collect();
+        let ids: Vec<ShardId> = self.shards.values().filter(|s| s.is_active()).map(|s| s.id).collect();
         for shard_id in ids {
             let Some(shard) = self.shards.get_mut(&shard_id) else { continue };
             let (mut ends, mut dirty, mut rereads) = (Vec::new(), Vec::new(), Vec::new());
--- a/src/coordination/members.rs
+++ b/src/coordination/members.rs
@@ -1,8 +1,7 @@
 //! This node's lease, who holds which shard, takeover and hand-back.
 
-use super::shard::Shard;
 use super::*;
-use crate::bookkeeping::records::{self, LiveRecord, MachineRecord, ShardRecord, to_value};
+use crate::bookkeeping::records::{self, LastRecord, ShardRecord, to_value};
 use crate::protocol::peers::Offer;
 use crate::protocol::state::{Change, Entry};
 
@@ -37,17 +36,23 @@
                 None => {}
             }
         }
-        if !self.watching && self.now.since(self.last_watch) >= self.cfg.own.claim_watch {
-            self.watching = true;
-            self.last_watch = self.now;
-            self.call_state(StateCall::List { prefix: records::SHARDS, after: None }, StateWork::Watch);
+        if self.now.since(self.last_watch) >= self.cfg.own.claim_watch {
+            self.watch_shards();
         }
         if self.now.since(self.last_beat) >= BEAT {
             self.send_beat();
         }
     }
 
-    fn send_beat(&mut self) {
+    fn watch_shards(&mut self) {
+        if !self.watching {
+            self.watching = true;
+            self.last_watch = self.now;
+            self.call_state(StateCall::List { prefix: records::SHARDS, after: None }, StateWork::Watch);
+        }
+    }
+
+    pub(super) fn send_beat(&mut self) {
         self.last_beat = self.now;
         let rented = self
             .shards
@@ -56,7 +61,7 @@
         let message = PeerMessage::Beat {
             entitled: self.entitled(),
             ready: self.entitled() && self.cloud.catalog.is_some(),
-            held: self.shards.values().filter(|s| s.active).map(|s| (s.id, s.claim)).collect(),
+            held: self.shards.values().filter(|s| s.is_active()).map(|s| (s.id, s.claim)).collect(),
             rented: rented.collect(),
             spare: self.shards.values().flat_map(|shard| shard.offers(self.now)).collect(),
         };
@@ -70,7 +75,8 @@
         if let Ok(StateAnswer::Granted(id)) = answer {
             log::info!("lease {id} granted");
             self.hold = Some(Hold { id, right_until: sent + self.cfg.own.claim_life.shrunk() });
-            self.last_watch = Time::ZERO;
+            // Whatever can be claimed is claimed now, not at the next turn.
+            self.watch_shards();
         }
     }
 
@@ -104,6 +110,7 @@
     pub(super) fn drop_shard(&mut self, id: ShardId, why: &str) {
         if let Some(shard) = self.shards.remove(&id) {
             log::warn!("shard {id} (claim {}) let go: {why}", shard.claim);
+            self.keep_account(&shard);
             for (ask, _) in shard.early {
                 self.reply(ask, Reply::busy("changing hands"));
             }
@@ -123,6 +130,7 @@
         let Ok(StateAnswer::Page { entries, .. }) = answer else { return };
         for at in 0..self.cfg.shards {
             let id = ShardId(at);
+            self.last_seen(id, &entries);
             let key = records::shard_key(id);
             match entries.iter().find(|entry| entry.key == key) {
                 Some(entry) => self.shard_seen(id, entry),
@@ -134,6 +142,18 @@
         }
     }
 
+    /// What the shard's last holders went by.
+    fn last_seen(&mut self, id: ShardId, entries: &[Entry]) {
+        let key = records::last_key(id);
+        let entry = entries.iter().find(|entry| entry.key == key);
+        let version = entry.map_or(Revision(0), |entry| entry.version);
+        let view = &mut self.views[id.0 as usize];
+        if view.last.as_ref().is_none_or(|(known, _)| *known < version) {
+            let record = entry.and_then(|entry| serde_json::from_value::<LastRecord>(entry.value.clone()).ok());
+            view.last = Some((version, record.and_then(|record| record.limits)));
+        }
+    }
+
     fn shard_seen(&mut self, id: ShardId, entry: &Entry) {
         let Ok(record) = serde_json::from_value::<ShardRecord>(entry.value.clone()) else { return };
         let view = &mut self.views[id.0 as usize];
@@ -143,13 +163,17 @@
         view.seen(entry.version, self.now);
         view.holder = Some(record.node.clone());
         let mine = record.node == self.cfg.label && record.life == self.life;
+        // This node's own from before it was started anew. That process is surely gone: only one can
+        // listen at an address, and this one does. So nobody has to wait for its lease to run out.
+        let former = record.node == self.cfg.label && record.life != self.life;
+        let former = former && record.front == Some(self.cfg.front) && self.cfg.own.recovery.reclaim;
         match self.shards.get(&id).map(|shard| shard.claim) {
             Some(claim) if claim < entry.version => self.drop_shard(id, "claimed by another node"),
             // A claim or a release of ours whose answer was lost. It is claimed anew rather than
             // taken as it is: under an old claim there may be commands on their way that this
             // node no longer remembers, and only a higher token tells reports from before them
             // from reports after.
-            None if mine && !self.claiming(id) => self.claim(id, entry.version),
+            None if (mine || former) && !self.claiming(id) => self.claim(id, entry.version, former),
             _ => {}
         }
     }
@@ -190,135 +214,49 @@
                 return;
             }
         }
-        self.claim(id, Revision(0));
+        self.claim(id, Revision(0), false);
     }
 
     /// Claims a shard whose key has the given version.
-    fn claim(&mut self, id: ShardId, version: Revision) {
+    fn claim(&mut self, id: ShardId, version: Revision, reclaimed: bool) {
         if !self.entitled() || self.reluctant() {
             return;
         }
         let Some(hold) = self.hold.as_ref().map(|hold| hold.id) else { return };
-        let record = ShardRecord { node: self.cfg.label.clone(), life: self.life };
-        let key = records::shard_key(id);
+        let (last_version, last) = self.views[id.0 as usize].last.clone().unwrap_or_default();
+        let digest = &self.cfg.limits_digest;
+        let same_limits = last.as_ref() == Some(digest);
+        let terms = ClaimTerms { writes: last.filter(|_| same_limits), same_limits, reclaimed };
+        let front = Some(self.cfg.front);
+        let record = ShardRecord { node: self.cfg.label.clone(), life: self.life, front };
+        let (key, last_key) = (records::shard_key(id), records::last_key(id));
+        let last_record = to_value(&LastRecord { limits: terms.writes.clone() });
         let request = StateCall::Commit {
-            conditions: vec![(key.clone(), version)],
-            changes: vec![Change::Put { key, value: to_value(&record), hold: Some(hold) }],
+            conditions: vec![(key.clone(), version), (last_key.clone(), last_version)],
+            changes: vec![
+                Change::Put { key, value: to_value(&record), hold: Some(hold) },
+                Change::Put { key: last_key, value: last_record, hold: None },
+            ],
         };
-        self.call_state(request, StateWork::Claim { shard: id, hold });
+        self.call_state(request, StateWork::Claim { shard: id, hold, terms });
     }
 
-    pub(super) fn claimed(&mut self, id: ShardId, hold: HoldId, answer: Result<StateAnswer, CallError>) {
+    pub(super) fn claimed(
+        &mut self,
+        id: ShardId,
+        hold: HoldId,
+        terms: ClaimTerms,
+        answer: Result<StateAnswer, CallError>,
+    ) {
         let same = self.hold.as_ref().is_some_and(|now| now.id == hold);
         match answer {
-            Ok(StateAnswer::Committed(revision)) if same => self.start_loading(id, revision),
+            Ok(StateAnswer::Committed(revision)) if same => self.start_loading(id, revision, terms),
             // Whoever was quicker, or what became of an unanswered claim, is seen at the next
             // look at the shards.
             _ => {}
         }
     }
 
-    fn start_loading(&mut self, id: ShardId, claim: Revision) {
-        log::info!("shard {id} claimed at revision {claim}");
-        let view = &mut self.views[id.0 as usize];
-        view.holder = Some(self.cfg.label.clone());
-        view.seen(claim, self.now);
-        self.shards.insert(id, Shard::new(id, claim, self.now));
-        self.load_jobs(id, claim, None);
-    }
-
-    fn load_jobs(&mut self, shard: ShardId, claim: Revision, after: Option<String>) {
-        let request = StateCall::List { prefix: records::LIVE, after };
-        self.call_state(request, StateWork::LoadJobs { shard, claim });
-    }
-
-    fn load_machines(&mut self, shard: ShardId, claim: Revision, after: Option<String>) {
-        let request = StateCall::List { prefix: records::MACHINES, after };
-        self.call_state(request, StateWork::LoadMachines { shard, claim });
-    }
-
-    /// The shard if it is still held by the claim that something was started under.
-    pub(super) fn shard_under(&mut self, id: ShardId, claim: Revision) -> Option<&mut Shard> {
-        self.shards.get_mut(&id).filter(|shard| shard.claim == claim)
-    }
-
-    pub(super) fn loaded_jobs(&mut self, id: ShardId, claim: Revision, answer: Result<StateAnswer, CallError>) {
-        let Some(shard) = self.shard_under(id, claim) else { return };
-        let Ok(StateAnswer::Page { entries, more }) = answer else {
-            shard.retry_load = true;
-            return;
-        };
-        for entry in &entries {
-            match serde_json::from_value::<LiveRecord>(entry.value.clone()) {
-                Ok(record) if record.shard == id => shard.load_job(record, entry.version),
-                Ok(_) => {}
-                Err(error) => log::error!("record {} can't be read: {error}", entry.key),
-            }
-        }
-        match entries.last() {
-            Some(last) if more => self.load_jobs(id, claim, Some(last.key.clone())),
-            _ => self.load_machines(id, claim, None),
-        }
-    }
-
-    pub(super) fn loaded_machines(&mut self, id: ShardId, claim: Revision, answer: Result<StateAnswer, CallError>) {
-        let proof_by = self.now + self.grace() + self.cfg.lease.stretched() + Span::millis(500);
-        let Some(shard) = self.shards.get_mut(&id).filter(|shard| shard.claim == claim) else { return };
-        let Ok(StateAnswer::Page { entries, more }) = answer else {
-            shard.retry_load = true;
-            return;
-        };
-        for entry in &entries {
-            let name = entry.key.strip_prefix(records::MACHINES).unwrap_or_default();
-            match serde_json::from_value::<MachineRecord>(entry.value.clone()) {
-                Ok(record) => {
-                    let machine = MachineId::new(name);
-                    self.machine_homes.insert(machine.clone(), record.shard);
-                    if record.shard == id {
-                        shard.load_machine(machine, &record, entry.version, proof_by);
-                    }
-                }
-                Err(error) => log::error!("record {} can't be read: {error}", entry.key),
-            }
-        }
-        if let (true, Some(last)) = (more, entries.last()) {
-            self.load_machines(id, claim, Some(last.key.clone()));
-            return;
-        }
-        shard.active = true;
-        shard.settle_unlocated();
-        log::info!(
-            "shard {id} loaded: {} jobs, {} machines, {} ms after the claim",
-            shard.jobs.len(),
-            shard.machines.len(),
-            self.now.since(shard.claimed_at).as_millis()
-        );
-        let early = std::mem::take(&mut shard.early);
-        for (ask, report) in early {
-            self.reported(ask, report);
-        }
-        self.send_beat();
-        self.probe_machines(id);
-    }
-
-    /// Loading that was refused or unanswered starts again: a claim must not lie idle.
-    pub(super) fn retry_loads(&mut self) {
-        let again: Vec<(ShardId, Revision)> = self
-            .shards
-            .values_mut()
-            .filter(|shard| shard.retry_load)
-            .map(|shard| {
-                shard.retry_load = false;
-                shard.jobs.clear();
-                shard.machines.clear();
-                (shard.id, shard.claim)
-            })
-            .collect();
-        for (id, claim) in again {
-            self.load_jobs(id, claim, None);
-        }
-    }
-
     pub(super) fn beat_heard(
         &mut self,
         from: NodeLabel,
@@ -361,7 +299,7 @@
         if !settled || !peer.held.is_empty() || !self.entitled() || self.shards.len() < 2 {
             return;
         }
-        let active = self.shards.values().filter(|shard| shard.active);
+        let active = self.shards.values().filter(|shard| shard.is_active());
         let lightest =
             active.min_by_key(|shard| (shard.jobs.len() + shard.machines.len(), self.home_of(shard.id) != node));
         let Some(id) = lightest.map(|shard| shard.id) else { return };
@@ -410,14 +348,14 @@
 
     pub(super) fn shard_released(&mut self, id: ShardId) {
         if (id.0 as usize) < self.views.len() && !self.shards.contains_key(&id) && !self.claiming(id) {
-            self.claim(id, Revision(0));
+            self.claim(id, Revision(0), false);
         }
     }
 }
 
 impl ShardView {
     /// The shard is held by this claim, or by a newer one known before.
-    fn seen(&mut self, claim: Revision, now: Time) {
+    pub(super) fn seen(&mut self, claim: Revision, now: Time) {
         self.absent_since = None;
         if claim > self.claim {
             self.claim = claim;
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -14,6 +14,7 @@
 mod members;
 mod moves;
 mod orders;
+mod recovery;
 mod returns;
 mod runs;
 mod shard;
--- a/src/coordination/moves.rs
+++ b/src/coordination/moves.rs
@@ -14,7 +14,7 @@
         let mut left = demand.count;
         let theirs = self.peers.values().filter(|peer| peer.is_heard(now));
         let mut offers: Vec<Offer> = theirs.flat_map(|peer| peer.spare.iter().cloned()).collect();
-        let others = self.shards.values().filter(|shard| shard.id != id && shard.active);
+        let others = self.shards.values().filter(|shard| shard.id != id && shard.is_active());
         offers.extend(others.flat_map(|shard| shard.offers(now)));
         offers.sort_by_key(|offer| !offer.spot);
         for offer in offers {
@@ -56,7 +56,7 @@
         }
         let now = self.now;
         let owner = self.shards.values_mut().find(|shard| shard.machines.contains_key(&machine));
-        let Some(shard) = owner.filter(|shard| shard.active && shard.id != to) else { return };
+        let Some(shard) = owner.filter(|shard| shard.is_active() && shard.id != to) else { return };
         let offered = shard.offers(now).iter().any(|offer| offer.machine == machine);
         let id = shard.id;
         let Some(moving) = shard.machines.get_mut(&machine).filter(|_| offered) else { return };
@@ -92,6 +92,7 @@
         to: ShardId,
         answer: Result<StateAnswer, CallError>,
     ) {
+        let now = self.now;
         let Some(shard) = self.shard_under(id, claim) else { return };
         match answer {
             Ok(StateAnswer::Conflict(failed)) if failed.contains(&records::shard_key(id)) => {
@@ -100,8 +101,7 @@
             // A conflict on the machine alone: an earlier try was executed after all.
             Ok(StateAnswer::Committed(_) | StateAnswer::Conflict(_)) => {
                 log::info!("machine {machine} moves from shard {id} to shard {to}");
-                shard.machines.remove(&machine);
-                shard.settle_unlocated();
+                shard.remove_machine(&machine, now);
                 self.machine_homes.insert(machine.clone(), to);
                 match self.holder_of(to).cloned() {
                     Some(node) if node == self.cfg.label => self.machine_moved_in(machine, to),
@@ -127,7 +127,7 @@
 
     pub(super) fn machine_moved_in(&mut self, machine: MachineId, shard: ShardId) {
         self.machine_homes.insert(machine.clone(), shard);
-        let Some(mine) = self.shards.get_mut(&shard).filter(|mine| mine.active) else { return };
+        let Some(mine) = self.shards.get_mut(&shard).filter(|mine| mine.is_active()) else { return };
         mine.taking.remove(&machine);
         let claim = mine.claim;
         let request = StateCall::Get(records::machine_key(&machine));
--- /dev/null
+++ b/src/coordination/recovery.rs
@@ -0,0 +1,292 @@
+//! From a claim to a shard that is served in full: reads the records in, asks the machines, and says how far it
+//! has come. What is decided meanwhile is `crowstall_recovery`'s; here are the calls and their answers.
+
+use super::*;
+use crate::bookkeeping::records::{self, LastRecord, LiveRecord, MachineRecord, to_value};
+use crate::protocol::state::Change;
+use crowstall_recovery::{Milestone, Recovery, Summary};
+use serde::Serialize;
+
+/// Ticks that come so much too late say that this node has more to do than it can.
+const STRAINED: Span = Span::millis(250);
+/// How many of the newest recoveries are remembered.
+const MOST_KEPT: usize = 32;
+
+/// A shard's way back as this node saw it.
+#[derive(Clone, Debug, Serialize)]
+pub(super) struct Account {
+    shard: ShardId,
+    claim: Revision,
+    /// The time of day of the claim, in milliseconds.
+    claimed_ms: u64,
+    /// The claim was this node's own from before it was started anew.
+    reclaimed: bool,
+    #[serde(flatten)]
+    summary: Summary,
+}
+
+impl Controller {
+    pub(super) fn start_loading(&mut self, id: ShardId, claim: Revision, terms: ClaimTerms) {
+        let how = if terms.reclaimed { "taken over from this node's former life" } else { "claimed" };
+        log::info!("shard {id} {how} at revision {claim}");
+        let now = self.now;
+        let view = &mut self.views[id.0 as usize];
+        view.holder = Some(self.cfg.label.clone());
+        view.seen(claim, now);
+        view.last = Some((claim, terms.writes.clone()));
+        let own = &self.cfg.own.recovery;
+        let mut shard = Shard::new(id, claim, Recovery::claimed(now, own.asks, own.piecewise));
+        shard.same_limits = terms.same_limits;
+        shard.claimed_ms = self.day_ms;
+        shard.reclaimed = terms.reclaimed;
+        self.shards.insert(id, shard);
+        self.load_jobs(id, claim, None);
+    }
+
+    fn load_jobs(&mut self, shard: ShardId, claim: Revision, after: Option<String>) {
+        let request = StateCall::List { prefix: records::LIVE, after };
+        self.call_state(request, StateWork::LoadJobs { shard, claim });
+    }
+
+    fn load_machines(&mut self, shard: ShardId, claim: Revision, after: Option<String>) {
+        let request = StateCall::List { prefix: records::MACHINES, after };
+        self.call_state(request, StateWork::LoadMachines { shard, claim });
+    }
+
+    /// The shard if it is still held by the claim that something was started under.
+    pub(super) fn shard_under(&mut self, id: ShardId, claim: Revision) -> Option<&mut Shard> {
+        self.shards.get_mut(&id).filter(|shard| shard.claim == claim)
+    }
+
+    pub(super) fn loaded_jobs(&mut self, id: ShardId, claim: Revision, answer: Result<StateAnswer, CallError>) {
+        let Some(shard) = self.shard_under(id, claim) else { return };
+        let Ok(StateAnswer::Page { entries, more }) = answer else {
+            shard.retry_load = true;
+            return;
+        };
+        for entry in &entries {
+            match serde_json::from_value::<LiveRecord>(entry.value.clone()) {
+                Ok(record) if record.shard == id => shard.load_job(record, entry.version),
+                Ok(_) => {}
+                Err(error) => log::error!("record {} can't be read: {error}", entry.key),
+            }
+        }
+        match entries.last() {
+            Some(last) if more => self.load_jobs(id, claim, Some(last.key.clone())),
+            _ => self.load_machines(id, claim, None),
+        }
+    }
+
+    pub(super) fn loaded_machines(&mut self, id: ShardId, claim: Revision, answer: Result<StateAnswer, CallError>) {
+        let proof_by = self.now + self.grace() + self.cfg.lease.stretched() + Span::millis(500);
+        let Some(shard) = self.shards.get_mut(&id).filter(|shard| shard.claim == claim) else { return };
+        let Ok(StateAnswer::Page { entries, more }) = answer else {
+            shard.retry_load = true;
+            return;
+        };
+        for entry in &entries {
+            let name = entry.key.strip_prefix(records::MACHINES).unwrap_or_default();
+            match serde_json::from_value::<MachineRecord>(entry.value.clone()) {
+                Ok(record) => {
+                    let machine = MachineId::new(name);
+                    self.machine_homes.insert(machine.clone(), record.shard);
+                    if record.shard == id {
+                        let size = self.cloud.types.get(&record.kind).map(|kind| kind.room).unwrap_or_default();
+                        shard.load_machine(machine, &record, entry.version, proof_by, size);
+                    }
+                }
+                Err(error) => log::error!("record {} can't be read: {error}", entry.key),
+            }
+        }
+        if let (true, Some(last)) = (more, entries.last()) {
+            self.load_machines(id, claim, Some(last.key.clone()));
+            return;
+        }
+        let jobs = shard.jobs.len();
+        shard.recovery.loaded(self.now, jobs);
+        shard.release_hidden();
+        log::info!("shard {id} loaded: {jobs} jobs, {} machines", shard.machines.len());
+        let early = std::mem::take(&mut shard.early);
+        for (ask, report) in early {
+            self.reported(ask, report);
+        }
+        self.send_beat();
+        self.sweep(id);
+        self.tell_milestones(id);
+    }
+
+    /// Loading that was refused or unanswered starts again: a claim must not lie idle.
+    fn retry_loads(&mut self) {
+        let again: Vec<(ShardId, Revision)> = self
+            .shards
+            .values_mut()
+            .filter(|shard| shard.retry_load)
+            .map(|shard| {
+                shard.restart_loading();
+                (shard.id, shard.claim)
+            })
+            .collect();
+        for (id, claim) in again {
+            self.load_jobs(id, claim, None);
+        }
+    }
+
+    /// Asks machines that a former holder had straight away, rather than waiting for them to find this
+    /// node: the answer comes under the new token.
+    pub(super) fn sweep(&mut self, shard_id: ShardId) {
+        if !self.may_renew() {
+            return;
+        }
+        let now = self.now;
+        let Some(shard) = self.shards.get_mut(&shard_id).filter(|shard| shard.is_active()) else { return };
+        let mut calls = Vec::new();
+        for id in shard.recovery.next_asks(now) {
+            match shard.machines.get(&id) {
+                Some(machine) if !machine.deleting => {
+                    let session = if machine.last.0.0 == 0 { Session(1) } else { machine.last.0 };
+                    calls.push((id, machine.addr, machine.token, session));
+                }
+                _ => shard.recovery.unanswered(&id, now),
+            }
+        }
+        for (id, addr, token, session) in calls {
+            self.call_worker(shard_id, &id, addr, WorkerCall { token, session, commands: Vec::new() });
+        }
+    }
+
+    /// What an unproven machine says to a direct question, or that it says nothing.
+    pub(super) fn proof_answered(
+        &mut self,
+        shard_id: ShardId,
+        id: &MachineId,
+        answer: Result<WorkerAnswer, CallError>,
+    ) {
+        let (now, entitled) = (self.now, self.entitled());
+        let Some(shard) = self.shards.get_mut(&shard_id) else { return };
+        let Some(machine) = shard.machines.get_mut(id) else { return };
+        let (report, executed) = match answer {
+            Ok(WorkerAnswer::Executed(report)) => (report, true),
+            Ok(WorkerAnswer::Rejected(report)) => (report, false),
+            Err(_) => {
+                machine.unanswered += 1;
+                shard.recovery.unanswered(id, now);
+                return self.sweep(shard_id);
+            }
+        };
+        let this = (report.session, report.seq);
+        if !entitled || this <= machine.last {
+            shard.recovery.unanswered(id, now);
+        } else if executed && report.token >= machine.token {
+            // Under the new token, so no former holder's command comes after it; and this holder
+            // has sent none yet, so nothing can be missing from it that may still start.
+            machine.last = this;
+            machine.seen = now;
+            machine.proof_by = machine.proof_by.max(now);
+            // Its lease was given by whoever answered last: until it reports here it may live on.
+            machine.answered = Some(machine.answered.map_or(now, |at| at.max(now)));
+            shard.read_report(&report, now);
+            shard.prove(id, now);
+            self.finish_jobs(shard_id);
+        } else if report.token <= machine.token && report.session != Session(0) {
+            // The session was another: once more with the right one.
+            machine.last = (report.session, Seq(0));
+            let (addr, token) = (machine.addr, machine.token);
+            shard.recovery.asked_again(id, now);
+            let request = WorkerCall { token, session: report.session, commands: Vec::new() };
+            self.call_worker(shard_id, id, addr, request);
+        } else {
+            // Somebody has a newer claim.
+            shard.recovery.unanswered(id, now);
+        }
+        self.sweep(shard_id);
+    }
+
+    pub(super) fn recovery_tick(&mut self) {
+        let late = self.now.since(self.last_tick) > STRAINED;
+        self.last_tick = self.now;
+        self.retry_loads();
+        let ids: Vec<ShardId> = self.shards.keys().copied().collect();
+        for id in ids {
+            if let Some(shard) = self.shards.get_mut(&id)
+                && late
+            {
+                shard.recovery.strained();
+            }
+            self.sweep(id);
+            self.tell_milestones(id);
+            self.settle_limits(id);
+        }
+    }
+
+    pub(super) fn tell_milestones(&mut self, id: ShardId) {
+        let now = self.now;
+        let Some(shard) = self.shards.get_mut(&id) else { return };
+        for milestone in shard.recovery.milestones() {
+            let took = shard.recovery.took(milestone).unwrap_or_default().as_millis();
+            log::info!("shard {id} recovery: {milestone}, {took} ms after the claim");
+            if milestone == Milestone::Serving {
+                let summary = serde_json::to_string(&shard.recovery.summary(now)).unwrap_or_default();
+                log::info!("shard {id} recovery: {summary}");
+            }
+        }
+    }
+
+    /// Once nothing is in doubt and every team is within its limit as this node knows it, the next
+    /// holder may rely on that. See `LastRecord`.
+    fn settle_limits(&mut self, id: ShardId) {
+        let Some(shard) = self.shards.get(&id).filter(|shard| shard.is_active()) else { return };
+        if shard.same_limits || !shard.recovery.is_complete() || !self.entitled() || self.settling.contains(&id) {
+            return;
+        }
+        let within = self.cfg.teams.iter().all(|(team, limits)| {
+            let used = shard.team_usage(team, &self.cfg, &self.cloud.types);
+            limits.cpus_max.is_none_or(|most| used.cpus <= most) && limits.gpus_max.is_none_or(|most| used.gpus <= most)
+        });
+        let Some((version, _)) = self.views[id.0 as usize].last.clone().filter(|_| within) else { return };
+        let (claim, key) = (shard.claim, records::last_key(id));
+        let record = LastRecord { limits: Some(self.cfg.limits_digest.clone()) };
+        let request = StateCall::Commit {
+            conditions: vec![(records::shard_key(id), claim), (key.clone(), version)],
+            changes: vec![Change::Put { key, value: to_value(&record), hold: None }],
+        };
+        self.settling.insert(id);
+        self.call_state(request, StateWork::SettleLimits { shard: id, claim });
+    }
+
+    pub(super) fn limits_settled(&mut self, id: ShardId, claim: Revision, answer: Result<StateAnswer, CallError>) {
+        self.settling.remove(&id);
+        let digest = self.cfg.limits_digest.clone();
+        let Some(shard) = self.shard_under(id, claim) else { return };
+        if let Ok(StateAnswer::Committed(version)) = answer {
+            shard.same_limits = true;
+            self.views[id.0 as usize].last = Some((version, Some(digest)));
+        }
+    }
+
+    /// Remembers how a shard came back, when it is let go.
+    pub(super) fn keep_account(&mut self, shard: &Shard) {
+        let account = self.account_of(shard);
+        self.accounts.push_back(account);
+        if self.accounts.len() > MOST_KEPT {
+            self.accounts.pop_front();
+        }
+    }
+
+    fn account_of(&self, shard: &Shard) -> Account {
+        let (shard, summary) = (shard, shard.recovery.summary(self.now));
+        Account {
+            shard: shard.id,
+            claim: shard.claim,
+            claimed_ms: shard.claimed_ms,
+            reclaimed: shard.reclaimed,
+            summary,
+        }
+    }
+
+    /// How this node's shards came back: those it holds and the newest of those it has let go.
+    pub(super) fn recoveries(&self) -> Reply {
+        let held: Vec<Account> = self.shards.values().map(|shard| self.account_of(shard)).collect();
+        let past: Vec<&Account> = self.accounts.iter().collect();
+        Reply::json(200, &serde_json::json!({ "node": self.cfg.label, "held": held, "past": past }))
+    }
+}
--- a/src/coordination/returns.rs
+++ b/src/coordination/returns.rs
@@ -24,7 +24,7 @@
         // One that reaches this node has reported within that time. What was heard longer ago says
         // nothing about the moment: when a cut begins, all machines fall silent one after another.
         // After a takeover workers take longer to find this node.
-        let settled = now.since(shard.claimed_at) >= lease;
+        let settled = now.since(shard.recovery.claimed_at()) >= lease;
         let recent = if settled { self.cfg.report.times(1.25) + Span::millis(1000) } else { patience };
         let (mut heard, mut silent) = (0, Vec::new());
         for (name, machine) in &shard.machines {
@@ -80,7 +80,7 @@
     pub(super) fn machines_listed(&mut self, listed: Vec<Listed>) {
         let (now, lease, lag) = (self.now, self.cfg.lease, self.cfg.list_lag);
         self.cloud.listed = listed.into_iter().map(|machine| (machine.id.clone(), machine)).collect();
-        let ids: Vec<ShardId> = self.shards.values().filter(|s| s.active).map(|s| s.id).collect();
+        let ids: Vec<ShardId> = self.shards.values().filter(|s| s.is_active()).map(|s| s.id).collect();
         for id in &ids {
             let Some(shard) = self.shards.get_mut(id) else { continue };
             let mut vanished = Vec::new();
@@ -138,10 +138,10 @@
 
     /// Takes a machine that is gone out of the records and out of memory.
     pub(super) fn forget_machine(&mut self, id: ShardId, machine: &MachineId) {
+        let now = self.now;
         let Some(shard) = self.shards.get_mut(&id) else { return };
         let claim = shard.claim;
-        let Some(gone) = shard.machines.remove(machine) else { return };
-        shard.settle_unlocated();
+        let Some(gone) = shard.remove_machine(machine, now) else { return };
         self.machine_homes.remove(machine);
         self.write_forget(id, claim, machine.clone(), gone.version);
     }
--- a/src/coordination/shard.rs
+++ b/src/coordination/shard.rs
@@ -5,10 +5,12 @@
 use super::runs::{Progress, Runs, TaskRuns};
 use crate::bookkeeping::ranges::RangeSet;
 use crate::bookkeeping::records::{LiveRecord, MachineRecord};
+use crate::config::Settings;
 use crate::model::*;
 use crate::protocol::peers::Offer;
 use crate::protocol::workers::{Exit, Report, TaskState};
 use crate::time::{Span, Time};
+use crowstall_recovery::{Limit, Place, Recovery};
 use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::SocketAddrV4;
@@ -133,6 +135,11 @@
     pub fn is_over(&self) -> bool {
         matches!(self.state, Some(TaskState::Exited(_)))
     }
+
+    /// Its job is not known, and so neither is its team.
+    pub fn is_stranger(&self) -> bool {
+        self.team.as_str().is_empty()
+    }
 }
 
 pub(super) struct Machine {
@@ -215,16 +222,24 @@
 pub(super) struct Shard {
     pub id: ShardId,
     pub claim: Revision,
-    pub claimed_at: Time,
-    pub active: bool,
+    /// How it comes back after the claim, and what is in doubt meanwhile.
+    pub recovery: Recovery,
     pub retry_load: bool,
+    /// The time of day of the claim, in milliseconds.
+    pub claimed_ms: u64,
+    /// The claim was this node's own from before it was started anew.
+    pub reclaimed: bool,
     pub jobs: HashMap<JobId, Job>,
     pub machines: BTreeMap<MachineId, Machine>,
     pub booting: BTreeMap<MachineId, Booting>,
     /// Rentals on the way, by request name.
     pub renting: BTreeMap<String, Rental>,
-    /// No machine is unproven and no inherited task is left to be found.
-    pub settled: bool,
+    /// Jobs with tasks that a former holder may have started and that have not been found yet.
+    hiding: BTreeSet<JobId>,
+    /// Machines with attempts of jobs that are not known, which count as full for every team.
+    strangers: BTreeSet<MachineId>,
+    /// The former holder went by the same limits of teams.
+    pub same_limits: bool,
     /// Arrays whose last task has completed and whose end is not being recorded yet.
     pub finished: Vec<JobId>,
     /// What attempts have told of run times, if anybody wants to know.
@@ -263,18 +278,21 @@
 }
 
 impl Shard {
-    pub fn new(id: ShardId, claim: Revision, now: Time) -> Shard {
+    pub fn new(id: ShardId, claim: Revision, recovery: Recovery) -> Shard {
         Shard {
             id,
             claim,
-            claimed_at: now,
-            active: false,
+            recovery,
             retry_load: false,
+            claimed_ms: 0,
+            reclaimed: false,
             jobs: HashMap::new(),
             machines: BTreeMap::new(),
             booting: BTreeMap::new(),
             renting: BTreeMap::new(),
-            settled: false,
+            hiding: BTreeSet::new(),
+            strangers: BTreeSet::new(),
+            same_limits: false,
             finished: Vec::new(),
             runs: None,
             line: Line::default(),
@@ -289,6 +307,20 @@
         }
     }
 
+    /// Its records are in memory.
+    pub fn is_active(&self) -> bool {
+        self.recovery.is_loaded()
+    }
+
+    /// The records have to be read again from the beginning.
+    pub fn restart_loading(&mut self) {
+        self.retry_load = false;
+        self.jobs.clear();
+        self.machines.clear();
+        self.hiding.clear();
+        self.recovery.restart_loading();
+    }
+
     /// Machines that no work of this shard needs.
     pub fn offers(&self, now: Time) -> Vec<Offer> {
         let idle = self.machines.iter().filter(|(id, machine)| {
@@ -373,13 +405,15 @@
             fault_recorded: false,
             rest_until: Time::ZERO,
             skipped_since: None,
-            waiting_since: self.claimed_at,
+            waiting_since: self.recovery.claimed_at(),
             ran: (0.0, 0),
         };
         if job.is_complete() {
             self.finished.push(id.clone());
         }
-        self.settled &= job.unlocated.is_empty();
+        if !job.unlocated.is_empty() {
+            self.hiding.insert(id.clone());
+        }
         self.line.made = None;
         self.jobs.insert(id, job);
     }
@@ -389,12 +423,21 @@
         self.steps.set(self.steps.get() + count as u64);
     }
 
-    pub fn load_machine(&mut self, id: MachineId, record: &MachineRecord, version: Revision, proof_by: Time) {
+    /// Takes in a machine that a former holder may have used. `size` is what it has room for.
+    pub fn load_machine(
+        &mut self,
+        id: MachineId,
+        record: &MachineRecord,
+        version: Revision,
+        proof_by: Time,
+        size: Resources,
+    ) {
         let Ok(addr) = record.addr.parse() else { return };
-        let now = self.claimed_at;
+        let now = self.recovery.claimed_at();
         let mut machine = Machine::new(record, addr, version, self.claim, now);
         machine.proof_by = proof_by;
-        self.settled = false;
+        let place = Place { kind: record.kind.clone(), zone: record.zone.clone(), spot: record.spot };
+        self.recovery.inherit(&id, place, size);
         self.machines.insert(id, machine);
     }
 
@@ -413,47 +456,72 @@
         self.machines.insert(id, machine);
     }
 
-    /// Once no machine is left on which a former holder's attempt could be running, the tasks
-    /// that were not found anywhere may be started.
-    pub fn settle_unlocated(&mut self) {
-        if self.settled {
-            return;
+    /// What is on the machine is known from now on; its newest report was read, or nothing is left there.
+    pub fn prove(&mut self, id: &MachineId, now: Time) {
+        if let Some(machine) = self.machines.get_mut(id)
+            && !machine.proven
+        {
+            machine.proven = true;
+            self.settle(id, now);
         }
-        self.step(self.machines.len());
-        if self.machines.values().any(|machine| !machine.proven) {
+    }
+
+    /// Takes a machine out that is gone or another shard's.
+    pub fn remove_machine(&mut self, id: &MachineId, now: Time) -> Option<Machine> {
+        let machine = self.machines.remove(id)?;
+        self.strangers.remove(id);
+        if !machine.proven {
+            self.settle(id, now);
+        }
+        Some(machine)
+    }
+
+    /// Nothing is hidden on the machine any more.
+    fn settle(&mut self, id: &MachineId, now: Time) {
+        if self.recovery.proven(id, now) {
+            self.release_hidden();
+        }
+    }
+
+    /// Tasks that were not found and can't be anywhere any more may be started: job by job, as soon as no
+    /// machine is left on which a former holder's attempt of it could be.
+    pub fn release_hidden(&mut self) {
+        if self.hiding.is_empty() {
             return;
         }
-        self.settled = true;
-        self.line.made = None;
-        for job in self.jobs.values_mut() {
-            let found = std::mem::take(&mut job.unlocated);
-            for task in found.iter() {
+        self.step(self.hiding.len());
+        for id in std::mem::take(&mut self.hiding) {
+            let Some(job) = self.jobs.get_mut(&id) else { continue };
+            if self.recovery.may_hide(&job.spec) {
+                self.hiding.insert(id);
+                continue;
+            }
+            for task in std::mem::take(&mut job.unlocated).iter() {
                 job.pending.insert(task);
             }
+            self.line.made = None;
         }
     }
 
     /// What a team may be using just now, at the most.
-    pub fn team_usage(&self, team: &Name, types: &HashMap<Name, MachineType>) -> Resources {
+    pub fn team_usage(&self, team: &Name, cfg: &Settings, types: &HashMap<Name, MachineType>) -> Resources {
         let located = self.usage.get(team).copied().unwrap_or_default();
         // A machine that has not answered this holder may be full of the team's tasks, and not
         // only of jobs that are still live: those of a job that was cancelled just before the
         // takeover run until they are told to stop. The same goes for a machine with an attempt
         // whose job has ended, since its team is not known any more.
-        let strangers = self.usage.get(&Name::new("")).is_some_and(|usage| usage.cpus > Amount(0));
-        if self.settled && !strangers {
+        if self.recovery.is_complete() && self.strangers.is_empty() {
             return located;
         }
-        self.step(self.machines.len());
-        let dark = |machine: &&Machine| {
-            !machine.proven
-                || machine.attempts.values().any(|attempt| !attempt.is_over() && attempt.team.as_str().is_empty())
-        };
-        let everything = Resources { cpus: Amount(u64::MAX), gpus: Amount(u64::MAX), memory: Amount(u64::MAX) };
-        self.machines
-            .values()
-            .filter(dark)
-            .fold(located, |sum, machine| sum.plus(&types.get(&machine.kind).map_or(everything, |kind| kind.room)))
+        let everything = Resources { cpus: EVERYTHING, gpus: EVERYTHING, memory: EVERYTHING };
+        let room = |kind: &Name| types.get(kind).map(|kind| kind.room);
+        self.step(self.strangers.len());
+        let strange = self.strangers.iter().filter_map(|id| self.machines.get(id));
+        let others =
+            strange.fold(Resources::default(), |sum, machine| sum.plus(&room(&machine.kind).unwrap_or(everything)));
+        let limit = cfg.teams.get(team).filter(|_| self.same_limits);
+        let limit = limit.map(|team| Limit { cpus: team.cpus_max, gpus: team.gpus_max });
+        located.plus(&self.recovery.unseen_usage(team, limit, room, others))
     }
 
     /// Puts an attempt on a machine, in memory.
@@ -486,6 +554,9 @@
         let ran = attempt.running_since.map(|since| now.since(since).as_secs());
         if let Some(usage) = self.usage.get_mut(&attempt.team) {
             *usage = usage.minus(&attempt.needs);
+            if attempt.is_stranger() && usage.cpus == Amount(0) {
+                self.strangers.clear();
+            }
         }
         if machine.attempts.values().filter(|other| !other.is_over()).count() <= 1 {
             machine.idle_since = now;
@@ -603,12 +674,11 @@
     /// Nothing that was ever started on the machine is there any more.
     pub fn lose_all(&mut self, machine_id: &MachineId, now: Time) {
         self.lose(machine_id, |_, _| true, now);
-        if let Some(machine) = self.machines.get_mut(machine_id) {
-            machine.proven = true;
-        }
+        self.prove(machine_id, now);
     }
 
-    /// Reads a newer report of a proven machine into the books.
+    /// Reads a newer report into the books. One that proves its machine is read before the machine is marked
+    /// as proven.
     pub fn read_report(&mut self, report: &Report, now: Time) {
         let id = &report.machine;
         for told in &report.tasks {
@@ -662,6 +732,12 @@
             stop: (!wanted && !over).then_some(0.0),
         };
         let TaskState::Exited(exit) = told.state else {
+            let inherited = self.machines.get(&report.machine).is_some_and(|machine| !machine.proven);
+            if attempt.is_stranger() {
+                self.strangers.insert(report.machine.clone());
+            } else if inherited {
+                self.recovery.found(&attempt.team, &attempt.needs);
+            }
             self.place(&report.machine, told.attempt, attempt);
             return;
         };
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -62,7 +62,7 @@
 impl Controller {
     /// The shard among those held here that has the job in memory.
     fn shard_with(&self, job: &JobId) -> Option<ShardId> {
-        self.shards.values().find(|shard| shard.active && shard.jobs.contains_key(job)).map(|shard| shard.id)
+        self.shards.values().find(|shard| shard.is_active() && shard.jobs.contains_key(job)).map(|shard| shard.id)
     }
 
     fn look_up(&mut self, asker: Asker, job: JobId, then: Then) {
@@ -118,7 +118,7 @@
             return self.reply(asker, final_view(&id, state, done));
         }
         let (entitled, now) = (self.entitled(), self.now);
-        if let Some(shard) = self.shards.get_mut(&shard_id).filter(|shard| shard.active && entitled) {
+        if let Some(shard) = self.shards.get_mut(&shard_id).filter(|shard| shard.is_active() && entitled) {
             if !shard.jobs.contains_key(&id) {
                 // Written under this claim, or it would have been loaded: an acceptance whose
                 // answer was lost. So nothing of it has been started.
@@ -313,7 +313,7 @@
             return self.known_or(asker, id, Reply::error(422, why));
         }
         match self.shard_for(&spec) {
-            Some(shard) if self.shards.get(&shard).is_some_and(|mine| mine.active) => {
+            Some(shard) if self.shards.get(&shard).is_some_and(|mine| mine.is_active()) => {
                 self.submit_here(asker, shard, spec)
             }
             Some(shard) if self.shards.contains_key(&shard) => self.submit_from_afar(asker, spec),
@@ -358,7 +358,7 @@
             return self.reply(asker, final_view(&id, state, done));
         }
         let entitled = self.entitled();
-        let Some(shard) = self.shards.get(&shard_id).filter(|shard| shard.active && entitled) else {
+        let Some(shard) = self.shards.get(&shard_id).filter(|shard| shard.is_active() && entitled) else {
             return self.reply(asker, Reply::busy("the shard is not ready"));
         };
         if let Some(job) = shard.jobs.get(&id) {
@@ -417,7 +417,7 @@
     /// A job that another node accepted for one of this node's shards.
     pub(super) fn note_seen(&mut self, note: &str, version: Revision) {
         let Some((shard_id, job)) = records::parse_note(note) else { return };
-        let Some(shard) = self.shards.get(&shard_id).filter(|shard| shard.active) else { return };
+        let Some(shard) = self.shards.get(&shard_id).filter(|shard| shard.is_active()) else { return };
         if !self.entitled() || self.notes.contains(note) {
             return;
         }
--- a/src/coordination/workers.rs
+++ b/src/coordination/workers.rs
@@ -34,7 +34,7 @@
             }
         };
         match self.shards.get_mut(&shard) {
-            Some(mine) if !mine.active => mine.early.push((ask, report)),
+            Some(mine) if !mine.is_active() => mine.early.push((ask, report)),
             Some(_) => self.adopt(ask, shard, report),
             None => self.send_elsewhere(ask, shard, report),
         }
@@ -55,7 +55,7 @@
         let held = self.shards.get(&shard).is_some_and(|s| s.machines.contains_key(&report.machine));
         match self.shards.get(&shard) {
             // Recorded as this shard's, but its holder did not load it: it came by a move.
-            Some(mine) if mine.active && !held => self.adopt(ask, shard, report),
+            Some(mine) if mine.is_active() && !held => self.adopt(ask, shard, report),
             Some(_) => self.reported(ask, report),
             None => self.send_elsewhere(ask, shard, report),
         }
@@ -138,12 +138,13 @@
         let id = MachineId::new(entry.key.strip_prefix(records::MACHINES).unwrap_or_default());
         let Ok(record) = serde_json::from_value::<MachineRecord>(entry.value) else { return };
         self.machine_homes.insert(id.clone(), record.shard);
+        let size = self.cloud.types.get(&record.kind).map(|kind| kind.room).unwrap_or_default();
         let Some(mine) = self.shard_under(shard, claim) else { return };
         if record.shard == shard && !mine.machines.contains_key(&id) {
             mine.booting.remove(&id);
             mine.taking.remove(&id);
-            mine.load_machine(id, &record, entry.version, proof_by);
-            self.probe_machines(shard);
+            mine.load_machine(id, &record, entry.version, proof_by, size);
+            self.sweep(shard);
         }
     }
 
@@ -151,7 +152,7 @@
         let now = self.now;
         let (entitled, may_renew) = (self.entitled(), self.may_renew());
         let Some(shard) = self.shards.get_mut(&shard_id) else { return };
-        if !shard.active {
+        if !shard.is_active() {
             shard.early.push((ask, report));
             return;
         }
@@ -191,11 +192,10 @@
             return self.reply(ask, workers::accepted(token, &[]));
         }
         if !machine.proven {
-            machine.proven = true;
             machine.idle_since = now;
         }
         shard.read_report(&report, now);
-        shard.settle_unlocated();
+        shard.prove(&report.machine, now);
         let commands = self.commands_for(shard_id, &report.machine, entitled);
         self.reply(ask, workers::accepted(token, &commands));
         self.finish_jobs(shard_id);
@@ -219,24 +219,20 @@
         commands
     }
 
-    /// Asks machines that a former holder had straight away, rather than waiting for them to
-    /// find this node: the answer comes under the new token. And asks those that have been silent
-    /// for a while whether they are still there.
-    pub(super) fn probe_machines(&mut self, shard_id: ShardId) {
+    /// Asks machines that have been silent for a while whether they are still there.
+    fn probe_machines(&mut self, shard_id: ShardId) {
         let (now, patience) = (self.now, self.cfg.report.times(2.0));
         let Some(shard) = self.shards.get_mut(&shard_id) else { return };
         let mut calls = Vec::new();
         for (id, machine) in &mut shard.machines {
-            let due = !machine.proven || (now.since(machine.seen) > patience && !machine.is_empty());
+            let due = machine.proven && now.since(machine.seen) > patience && !machine.is_empty();
             if due && !machine.probing && !machine.deleting {
                 machine.probing = true;
-                let session = if machine.last.0.0 == 0 { Session(1) } else { machine.last.0 };
-                calls.push((id.clone(), machine.addr, machine.token, session));
+                calls.push((id.clone(), machine.addr, machine.token, machine.last.0));
             }
         }
         for (id, addr, token, session) in calls {
-            let request = WorkerCall { token, session, commands: Vec::new() };
-            self.call_worker(shard_id, &id, addr, request);
+            self.call_worker(shard_id, &id, addr, WorkerCall { token, session, commands: Vec::new() });
         }
     }
 
@@ -248,55 +244,19 @@
         answer: Result<WorkerAnswer, CallError>,
     ) {
         let now = self.now;
-        let entitled = self.entitled();
         let Some(shard) = self.shard_under(shard_id, claim) else { return };
         let Some(machine) = shard.machines.get_mut(&id) else { return };
         machine.probing = false;
-        let (report, executed) = match answer {
-            Ok(WorkerAnswer::Executed(report)) => (report, true),
-            Ok(WorkerAnswer::Rejected(report)) => (report, false),
-            Err(_) => {
-                machine.unanswered += 1;
-                return;
-            }
-        };
-        if report.machine != id {
-            return;
-        }
-        if machine.proven {
+        match answer {
+            Ok(WorkerAnswer::Executed(report) | WorkerAnswer::Rejected(report)) if report.machine != id => {}
+            answer if !machine.proven => self.proof_answered(shard_id, &id, answer),
             // It is there. What it says is not read: a command in an answer to a report of it may
             // still be on its way, and would seem to be missing.
-            machine.seen = now;
-            machine.unanswered = 0;
-            return;
-        }
-        if !entitled {
-            return;
-        }
-        let this = (report.session, report.seq);
-        if this <= machine.last {
-            return;
-        }
-        if executed && report.token >= machine.token {
-            // Under the new token, so no former holder's command comes after it; and this holder
-            // has sent none yet, so nothing can be missing from it that may still start.
-            machine.last = this;
-            machine.seen = now;
-            machine.proven = true;
-            machine.proof_by = machine.proof_by.max(now);
-            // Its lease was given by whoever answered last: until it reports here it may live on.
-            machine.answered = Some(machine.answered.map_or(now, |at| at.max(now)));
-            shard.read_report(&report, now);
-            shard.settle_unlocated();
-            self.finish_jobs(shard_id);
-        } else if report.token <= machine.token && report.session != Session(0) {
-            // The session was another: once more with the right one.
-            machine.last.0 = report.session;
-            machine.last.1 = Seq(0);
-            let (addr, token) = (machine.addr, machine.token);
-            machine.probing = true;
-            let request = WorkerCall { token, session: report.session, commands: Vec::new() };
-            self.call_worker(shard_id, &id, addr, request);
+            Ok(_) => {
+                machine.seen = now;
+                machine.unanswered = 0;
+            }
+            Err(_) => machine.unanswered += 1,
         }
     }
 
@@ -327,12 +287,11 @@
         let now = self.now;
         let lease = self.cfg.lease;
         let may_renew = self.may_renew();
-        self.retry_loads();
         let ids: Vec<ShardId> = self.shards.keys().copied().collect();
         for id in ids {
             let Some(shard) = self.shards.get_mut(&id) else { continue };
-            if !shard.active {
-                if now.since(shard.claimed_at) > EARLY_WAIT {
+            if !shard.is_active() {
+                if now.since(shard.recovery.claimed_at()) > EARLY_WAIT {
                     let early = std::mem::take(&mut shard.early);
                     for (ask, _) in early {
                         self.reply(ask, Reply::busy("being loaded"));
@@ -352,7 +311,6 @@
                 log::warn!("machine {machine_id}: its lease has run out");
                 shard.lose_all(machine_id, now);
             }
-            shard.settle_unlocated();
             if !may_renew {
                 continue;
             }
--- a/src/main.rs
+++ b/src/main.rs
@@ -10,15 +10,15 @@
     /// The platform's settings (TOML)
     #[arg(long, value_name = "FILE")]
     config: PathBuf,
-    /// The operators' own settings (Java-style properties)
+    /// The operators' own settings (Java-style properties); may be given several times
     #[arg(long, value_name = "FILE")]
-    properties: Option<PathBuf>,
+    properties: Vec<PathBuf>,
 }
 
 fn main() -> ExitCode {
     let arguments = Arguments::parse();
     env_logger::Builder::from_env(env_logger::Env::new().filter_or("LOG_LEVEL", "info")).format_timestamp(None).init();
-    let settings = match Settings::load(&arguments.config, arguments.properties.as_deref()) {
+    let settings = match Settings::load(&arguments.config, &arguments.properties) {
         Ok(settings) => settings,
         Err(error) => {
             eprintln!("crowstall: {error}");
--- a/src/protocol/users.rs
+++ b/src/protocol/users.rs
@@ -11,6 +11,8 @@
     Poll(JobId),
     Cancel(JobId),
     Forecast(JobId),
+    /// How this node's shards came back.
+    Recoveries,
     Up,
     Report(Box<super::workers::Report>),
     /// Answered without a look at any state.
@@ -165,6 +167,9 @@
     if path == "/up" {
         return wrong_method("GET").unwrap_or(Ask::Up);
     }
+    if path == "/v1/recoveries" {
+        return wrong_method("GET").unwrap_or(Ask::Recoveries);
+    }
     if path == "/v1/jobs" {
         return wrong_method("POST").unwrap_or_else(|| Ask::Submit(parse_submission(body)));
     }
