--- a/tests/world/cloud.rs
+++ b/tests/world/cloud.rs
@@ -14,6 +14,8 @@
     there: BTreeMap<u32, (Name, Name, bool, u64)>,
     past: VecDeque<(u64, Vec<Listed>)>,
     pub full_until: u64,
+    /// Until then nothing can be given back.
+    pub keeps_until: u64,
     /// How many machines of a type there are in a zone: ordinary ones, and spot ones.
     pub stock: [usize; 2],
     /// All machines boot in time and none is faulty.
@@ -76,6 +78,9 @@
                 self.cloud.done.insert(request.clone(), machines.clone());
                 CloudAnswer::Rented(machines.iter().map(|n| workers::name(*n)).collect())
             }
+            CloudCall::Delete(_) if self.now < self.cloud.keeps_until => {
+                return Err(CallError::Refused { over_limit: false });
+            }
             CloudCall::Delete(machines) => {
                 for machine in machines {
                     let number = workers::number(machine);
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -188,10 +188,16 @@
         Mutation::NoLimits => text.replace("cpus_max = 16.0", "cpus_max = 0.0"),
         _ => text,
     };
+    with_properties(&text, one_shard, more)
+}
+
+fn with_properties(text: &str, one_shard: bool, more: &str) -> Settings {
     // A lease that is thought short must not shorten the claims too.
     let shards = if one_shard { 1 } else { 3 };
-    let own = format!("claim.life.ms=4000\nshards.for-teams={shards}\n{more}");
-    Settings::parse(&text, Some(&own)).expect("the test's settings are valid")
+    let recovery = include_str!("../../deploy/recovery.properties");
+    // Of a key that is there twice the last one counts.
+    let own = format!("claim.life.ms=4000\nshards.for-teams={shards}\n{recovery}\n{more}");
+    Settings::parse(text, Some(&own)).expect("the test's settings are valid")
 }
 
 pub const CANCEL: u64 = 30 * SEC;
@@ -249,6 +255,14 @@
         world
     }
 
+    /// The same with some of the operators' recovery settings turned off.
+    pub fn with_one_shard_without(seed: u64, stock: [usize; 2], property: &str) -> World {
+        let mut world = World::with_one_shard(seed, stock);
+        let off = format!("{property} = false");
+        world.settings = (0..3).map(|node| settings(node, Mutation::None, true, &off)).collect();
+        world
+    }
+
     /// With the operators' forecast file, planning by it, and snapshots every few seconds.
     pub fn with_forecasts(seed: u64, one_shard: bool, stock: [usize; 2]) -> World {
         let mut world = World::new(seed, Mutation::None);
@@ -260,18 +274,40 @@
         world
     }
 
-    /// What a node tells of a job's forecast, if it knows without asking anybody.
-    pub fn forecast(&mut self, node: usize, job: &JobId) -> Option<Reply> {
+    /// Has a node's next process go by another label and address.
+    pub fn mislabel(&mut self, node: usize, label: &str, front: &str) {
+        let text = SETTINGS.replace("LABEL", label).replace("10.0.0.1:8080", front);
+        let others = ["perch-0", "perch-1", "perch-2"].into_iter().filter(|other| *other != label);
+        let peer = |at: (usize, &str)| {
+            format!("[[peers]]\nlabel = \"{}\"\narea = \"east\"\npeer_addr = \"10.0.0.{}:8081\"\n", at.1, at.0)
+        };
+        let text = text.replace("PEERS", &others.enumerate().map(peer).collect::<String>());
+        self.settings[node] = with_properties(&text, true, "");
+        self.nodes[node].label = NodeLabel::new(label);
+    }
+
+    /// What a node answers, if it does so without asking anybody.
+    pub fn ask(&mut self, node: usize, ask: Ask) -> Option<Reply> {
         let clock = self.clock(node);
         let asked = AskId(u64::MAX);
-        let event = Event::Ask { id: asked, ask: Ask::Forecast(job.clone()) };
-        let actions = self.nodes[node].controller.as_mut()?.handle(clock, event);
+        let actions = self.nodes[node].controller.as_mut()?.handle(clock, Event::Ask { id: asked, ask });
         actions.into_iter().find_map(|action| match action {
             Action::Reply { id, reply } if id == asked => Some(reply),
             _ => None,
         })
     }
 
+    /// What a node tells of a job's forecast.
+    pub fn forecast(&mut self, node: usize, job: &JobId) -> Option<Reply> {
+        self.ask(node, Ask::Forecast(job.clone()))
+    }
+
+    /// How the first shard that a node holds came back, as it tells itself.
+    pub fn recovery(&mut self, node: usize) -> serde_json::Value {
+        let reply = self.ask(node, Ask::Recoveries).map(|reply| reply.body).unwrap_or_default();
+        serde_json::from_str::<serde_json::Value>(&reply).map(|told| told["held"][0].clone()).unwrap_or_default()
+    }
+
     /// What all reports so far have cost, and how many there were.
     pub fn report_steps(&self) -> (u64, u64) {
         let controllers = self.nodes.iter().filter_map(|slot| slot.controller.as_ref());
