--- /dev/null
+++ b/tests/recovery.rs
@@ -0,0 +1,242 @@
+//! Coming back after a change of hands: how soon, and that no rule breaks on the way whatever else fails.
+
+mod world;
+
+use crowstall::model::*;
+use rand::Rng;
+use world::users::spec;
+use world::{Cut, Host, MS, SEC, World};
+
+const RECLAIM: &str = "recovery.reclaim";
+const PIECEWISE: &str = "recovery.piecewise";
+
+fn assert_kept(world: &World, seed: u64) {
+    assert!(world.broken.is_empty(), "seed {seed}: {:?}\n{}", world.broken, world.trace.join("\n"));
+}
+
+fn running(world: &World) -> usize {
+    world.users.iter().map(|user| world.replicas(&user.spec.id)).sum()
+}
+
+/// A fleet at work: services and arrays of a limited and a free team.
+fn at_work(mut world: World) -> World {
+    for id in 0..12 {
+        let team = if id % 3 == 0 { "limited" } else { "free" };
+        let tasks = if team == "limited" { 2 } else { 3 };
+        world.add_user(spec(id, JobKind::Service, team, tasks, 2.0), u64::MAX / 4, 2 * SEC, None, false);
+    }
+    for id in 100..112 {
+        let mut job = spec(id, JobKind::Array, "free", 20, 2.0);
+        job.spot = true;
+        let at = 5 * SEC + world.rng.random_range(0..20 * SEC);
+        world.add_user(job, 6 * SEC, at, None, false);
+    }
+    world.run_until(30 * SEC);
+    world
+}
+
+fn holder(world: &World) -> usize {
+    world.holder(0).expect("somebody holds the shard")
+}
+
+/// When the shard next had a claim after the holder's crash, in ms after it was up again.
+fn claim_after_restart(mut world: World) -> Option<u64> {
+    let node = holder(&world);
+    let before = world.state.get("shard/0").cloned();
+    world.crash(node, 500 * MS);
+    let up = world.now + 500 * MS;
+    while world.now < up + 10 * SEC {
+        let next = world.now + 10 * MS;
+        world.run_until(next);
+        let stands = world.state.get("shard/0");
+        if stands.is_some() && stands != before.as_ref() {
+            assert!(world.broken.is_empty(), "{:?}", world.broken);
+            return Some((world.now - up) / MS);
+        }
+    }
+    None
+}
+
+#[test]
+fn a_restarted_holder_does_not_wait_for_its_own_old_claim() {
+    let with = claim_after_restart(at_work(World::with_one_shard(1, [12, 12])));
+    assert!(with.is_some_and(|ms| ms <= 300), "claimed {with:?} ms after it was up");
+    let without = claim_after_restart(at_work(World::with_one_shard_without(1, [12, 12], RECLAIM)));
+    assert!(without.is_none_or(|ms| ms > 1500), "the guard's test is no test: {without:?} ms without it");
+}
+
+/// All machines of a zone fall silent in the moment of a crash, and none can be given back. Work that may
+/// only run in the other zone has nothing to do with them. Gives back how many tasks of it were completed before
+/// the crash and 12 s after it.
+fn work_beside_a_dark_zone(mut world: World) -> (usize, usize) {
+    for id in 0..6 {
+        let mut job = spec(id, JobKind::Array, "free", 40, 4.0);
+        job.zone = Some(Name::new(if id % 2 == 0 { "east" } else { "west" }));
+        world.add_user(job, 4 * SEC, 2 * SEC, None, false);
+    }
+    world.run_until(18 * SEC);
+    let done = |world: &World| {
+        let west = |user: &&world::users::User| user.spec.zone == Some(Name::new("west"));
+        let west: Vec<String> = world.users.iter().filter(west).map(|user| user.spec.id.to_string()).collect();
+        world.completed.iter().filter(|(job, _)| west.contains(job)).count()
+    };
+    let (before, until) = (done(&world), world.now + 25 * SEC);
+    let dark: Vec<u32> = world.workers.values().filter(|w| w.zone.as_str() == "east").map(|w| w.number).collect();
+    for number in dark {
+        world.cuts.push(Cut { a: Host::Machine(number), b: None, until, hold: true });
+    }
+    world.cloud.keeps_until = until;
+    let node = holder(&world);
+    world.crash(node, 300 * MS);
+    let next = world.now + 12 * SEC;
+    world.run_until(next);
+    assert_kept(&world, 2);
+    let after = done(&world);
+    world.run_until(until + 60 * SEC);
+    assert_kept(&world, 2);
+    assert_eq!(done(&world), 120, "tasks of the zone that is there, at last");
+    (before, after)
+}
+
+#[test]
+fn what_a_dark_zone_cannot_hide_does_not_wait_for_it() {
+    let (before, with) = work_beside_a_dark_zone(World::with_one_shard(4, [4, 0]));
+    let (_, without) = work_beside_a_dark_zone(World::with_one_shard_without(3, [4, 0], PIECEWISE));
+    assert!(with >= before + 35, "{before} completed before the crash, {with} afterwards");
+    assert!(without + 15 <= with, "the guard's test is no test: {without} without it, {with} with it");
+}
+
+/// A day on which the holder, and whoever takes over from it, is hit again and again while it recovers.
+fn hard_day(seed: u64, what: usize) -> World {
+    let mut world = at_work(World::with_one_shard(seed, [12, 12]));
+    let node = holder(&world);
+    let now = world.now;
+    let hold = world.rng.random_bool(0.5);
+    match what {
+        // The holder during its own takeover, and the next one too.
+        0 => {
+            world.crash(node, 400 * MS);
+            let pause = world.rng.random_range(400 * MS..1200 * MS);
+            world.run_until(now + pause);
+            (0..3).for_each(|node| {
+                if world.is_up(node) {
+                    world.crash(node, 300 * MS)
+                }
+            });
+            world.run_until(now + pause + 5 * SEC);
+            let next = holder(&world);
+            world.crash(next, 5 * SEC);
+        }
+        // All in an outage, in which the restarted ones are refused.
+        1 => {
+            world.state.start_outage(now, 12 * SEC);
+            let pause = world.rng.random_range(SEC..11 * SEC);
+            world.run_until(now + pause);
+            (0..3).for_each(|node| world.crash(node, SEC));
+        }
+        // A freeze of 21 s: everything of the old claim arrives late.
+        2 => {
+            for to in
+                [Host::State, Host::Cloud, Host::Users, Host::Machines, Host::Node(0), Host::Node(1), Host::Node(2)]
+            {
+                world.cuts.push(Cut { a: Host::Node(node), b: Some(to), until: now + 21 * SEC, hold: true });
+            }
+        }
+        // A cut that holds packets across the takeover, in which the cut node is started anew.
+        3 => {
+            world.cuts.push(Cut { a: Host::Node(node), b: None, until: now + 9 * SEC, hold });
+            let pause = world.rng.random_range(SEC..8 * SEC);
+            world.run_until(now + pause);
+            world.crash(node, SEC);
+        }
+        // Half of the machines silent after it.
+        4 => {
+            let numbers: Vec<u32> = world.workers.keys().copied().filter(|number| number % 2 == 0).collect();
+            for number in numbers {
+                world.cuts.push(Cut { a: Host::Machine(number), b: None, until: now + 14 * SEC, hold });
+            }
+            world.crash(node, SEC);
+        }
+        // Peers that refuse one another.
+        5 => {
+            for (a, b) in [(0, 1), (0, 2), (1, 2)] {
+                world.cuts.push(Cut { a: Host::Node(a), b: Some(Host::Node(b)), until: now + 20 * SEC, hold });
+            }
+            world.crash(node, SEC);
+        }
+        // The restarted node is refused by the state service alone.
+        6 => {
+            world.state.refused_until[node] = now + 12 * SEC;
+            world.crash(node, SEC);
+        }
+        // Its former life's claim arrives after the crash: the shard was just let go.
+        7 => {
+            world.cuts.push(Cut { a: Host::Node(node), b: Some(Host::State), until: now + 3 * SEC, hold: true });
+            world.run_until(now + 500 * MS);
+            world.crash(node, 300 * MS);
+        }
+        // One after another, as a roll of new software goes.
+        _ => {
+            for node in 0..3 {
+                world.crash(node, SEC);
+                let next = world.now + 6 * SEC;
+                world.run_until(next);
+            }
+        }
+    }
+    let end = world.now + 90 * SEC;
+    world.run_until(end);
+    world
+}
+
+#[test]
+fn the_rules_hold_when_a_recovery_is_hit_again() {
+    for what in 0..9 {
+        for seed in 400..406 {
+            let world = hard_day(seed, what);
+            assert!(world.broken.is_empty(), "case {what}, seed {seed}: {:?}", world.broken);
+            let open: Vec<&JobId> =
+                world.users.iter().filter(|u| u.run < 60 * SEC && u.done_at.is_none()).map(|u| &u.spec.id).collect();
+            assert!(open.is_empty(), "case {what}, seed {seed}: never done: {open:?}");
+            assert_eq!(running(&world), 32, "case {what}, seed {seed}: replicas at the end");
+        }
+    }
+}
+
+/// Two processes go by one label; `same_address` tells whether they also claim to listen at one address, which
+/// no network allows.
+fn twins(seed: u64, same_address: bool) -> World {
+    let mut world = World::with_one_shard(seed, [12, 12]);
+    world.mislabel(1, "perch-1", "10.0.0.2:8080");
+    world.mislabel(2, "perch-1", if same_address { "10.0.0.2:8080" } else { "10.0.0.3:8080" });
+    for id in 0..10 {
+        let cancel = (id % 2 == 0).then_some(20 * SEC);
+        world.add_user(spec(id, JobKind::Service, "free", 2, 2.0), u64::MAX / 4, 4 * SEC, cancel, false);
+    }
+    for id in 100..130 {
+        let at = 5 * SEC + u64::from(id - 100) * SEC;
+        world.add_user(spec(id, JobKind::Array, "limited", 6, 2.0), 3 * SEC, at, None, false);
+    }
+    world.run_until(10 * SEC);
+    for _ in 0..6 {
+        let pause = world.rng.random_range(2 * SEC..8 * SEC);
+        let next = world.now + pause;
+        world.run_until(next);
+        let node = world.rng.random_range(0..3);
+        if world.is_up(node) {
+            world.crash(node, SEC);
+        }
+    }
+    let end = world.now + 60 * SEC;
+    world.run_until(end);
+    world
+}
+
+#[test]
+fn two_processes_with_one_label_do_no_harm() {
+    for seed in 500..506 {
+        assert_kept(&twins(seed, false), seed);
+        // Not even where they take their claims for each other's former ones, and so for their own.
+        assert_kept(&twins(seed, true), seed);
+    }
+}
