--- a/src/bookkeeping/ranges.rs
+++ b/src/bookkeeping/ranges.rs
@@ -27,11 +27,6 @@
         self.runs.iter().map(|(start, end)| end - start).sum()
     }
 
-    /// How many of the numbers are less than `limit`.
-    pub fn count_below(&self, limit: u32) -> u32 {
-        self.runs.iter().take_while(|run| run.0 < limit).map(|&(start, end)| end.min(limit) - start).sum()
-    }
-
     pub fn first(&self) -> Option<u32> {
         self.runs.first().map(|run| run.0)
     }
--- a/src/config.rs
+++ b/src/config.rs
@@ -211,13 +211,11 @@
     pub piecewise: bool,
     /// How many machines are asked at a time.
     pub asks: usize,
-    /// Records allow starts only of what stands at the front of the line.
-    pub open_late: bool,
 }
 
 impl Default for RecoveryProperties {
     fn default() -> RecoveryProperties {
-        RecoveryProperties { reclaim: false, piecewise: false, asks: 64, open_late: false }
+        RecoveryProperties { reclaim: false, piecewise: false, asks: 64 }
     }
 }
 
@@ -311,7 +309,6 @@
             }
             "recovery.reclaim" => self.recovery.reclaim = switch()?,
             "recovery.piecewise" => self.recovery.piecewise = switch()?,
-            "recovery.open-late" => self.recovery.open_late = switch()?,
             "recovery.asks" => match value.parse::<usize>() {
                 Ok(n) if (1..=1000).contains(&n) => self.recovery.asks = n,
                 _ => return Err(bad("a whole number from 1 to 1000")),
--- a/src/coordination/binding.rs
+++ b/src/coordination/binding.rs
@@ -29,14 +29,9 @@
     /// The next task that may be started, if any may be.
     pub fn next_task(&self, now: Time) -> Option<u32> {
         let task = self.pending.first().filter(|task| *task < self.untouched)?;
-        self.may_start(now).then_some(task)
-    }
-
-    /// Whether its next pending task may be started as far as the job itself goes.
-    pub fn may_start(&self, now: Time) -> bool {
         // A job that fails everywhere tries one task at a time, until one completes.
         let may_try = !self.at_fault || self.spec.kind == JobKind::Service || self.running.is_empty();
-        self.is_live() && may_try && now >= self.rest_until
+        (self.is_live() && may_try && now >= self.rest_until).then_some(task)
     }
 
     /// Seconds left until the job should be done: until its deadline, or until the first of its
@@ -121,16 +116,11 @@
     }
 
     fn in_order(&self, market: &Market) -> Vec<JobId> {
-        self.ranked(market, |job| job.next_task(market.now).is_some())
-    }
-
-    /// The jobs that are asked for, in the line's order.
-    pub fn ranked(&self, market: &Market, asked: impl Fn(&Job) -> bool) -> Vec<JobId> {
         let mut usage: HashMap<&Name, Resources> = HashMap::new();
         let mut line: Vec<_> = self
             .jobs
             .values()
-            .filter(|job| asked(job))
+            .filter(|job| job.next_task(market.now).is_some())
             .filter_map(|job| {
                 let used = usage
                     .entry(&job.spec.team)
@@ -369,7 +359,6 @@
                 log::debug!("task {task} attempt {no} goes to {id}");
                 self.place(id, no, attempt);
                 self.recovery.bound(now);
-                self.ahead.started(now, market.cfg.own.claim_life);
                 if let Some(machine) = self.machines.get_mut(id) {
                     machine.note_image(&image, image_gb, kind.cache_gb);
                 }
--- a/src/coordination/ledger.rs
+++ b/src/coordination/ledger.rs
@@ -1,6 +1,5 @@
 //! Writing jobs' records: progress in rounds, ends at once.
 
-use super::binding::Market;
 use super::*;
 use crate::bookkeeping::ranges::RangeSet;
 use crate::bookkeeping::records::{self, EndRecord, LiveRecord, to_value};
@@ -80,16 +79,11 @@
         let now = self.now;
         let ids: Vec<ShardId> = self.shards.values().filter(|s| s.is_active()).map(|s| s.id).collect();
         for shard_id in ids {
-            let market = Market { cfg: &self.cfg, types: &self.cloud.types, now, day_ms: self.day_ms };
             let Some(shard) = self.shards.get_mut(&shard_id) else { continue };
-            shard.plan_starts(&market);
             let (mut ends, mut dirty, mut rereads) = (Vec::new(), Vec::new(), Vec::new());
             for job in shard.jobs.values() {
                 // An end that has only waited for its turn need not wait for a round as well.
-                // Neither need one whose starts wait for the record.
-                let held_back = job.open_to > job.untouched && job.pending.first() == Some(job.untouched);
-                let round = if held_back { self.cfg.own.round.times(0.2) } else { self.cfg.own.round };
-                let recent = now.since(job.last_write) < round;
+                let recent = now.since(job.last_write) < self.cfg.own.round;
                 if job.writing || recent && (job.ending.is_none() || job.unsure || job.refused) {
                     continue;
                 }
@@ -99,6 +93,7 @@
                 } else if job.ending.is_some() {
                     ends.push((&job.order, id));
                 } else if job.is_dirty() {
+                    let held_back = job.pending.first().is_some_and(|next| next >= job.untouched);
                     dirty.push((!held_back, job.last_write, id));
                 }
             }
@@ -128,7 +123,7 @@
             job: job.spec.clone(),
             accepted_ms: job.accepted_ms,
             done: String::new(),
-            untouched: job.untouched.max(job.open_to),
+            untouched: job.wants_untouched(),
             failing: job.at_fault,
         };
         // What does not fit is not recorded, and so not forgotten by the workers either.
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -2,7 +2,6 @@
 //! output happens here: events and a clock reading go in, actions come out, and the tests drive
 //! the same code in simulated time.
 
-mod ahead;
 mod binding;
 mod boots;
 mod cloud;
--- a/src/coordination/shard.rs
+++ b/src/coordination/shard.rs
@@ -1,6 +1,5 @@
 //! One shard in memory: its jobs, its machines, and what is running where.
 
-use super::ahead::Ahead;
 use super::events::Asker;
 use super::orders::{Booting, Rental};
 use super::runs::{Progress, Runs, TaskRuns};
@@ -35,8 +34,6 @@
     pub written: u32,
     /// No task from this number on was ever started, by anybody; so it stands in the record.
     pub untouched: u32,
-    /// Up to where the record should allow starts, if that is further.
-    pub open_to: u32,
     pub running: HashMap<u32, (MachineId, AttemptNo)>,
     /// A write of its record is on the way.
     pub writing: bool,
@@ -85,8 +82,21 @@
         if count > 0 { (sum + self.spec.estimate_s) / (count as f64 + 1.0) } else { self.spec.estimate_s }.max(1.0)
     }
 
+    /// Up to where the record should allow starts: ahead of the queue, so that nobody waits for
+    /// the record, but not far, since after a takeover all of that has to be looked for.
+    pub fn wants_untouched(&self) -> u32 {
+        match self.pending.first() {
+            Some(next) if next + LOOKAHEAD / 2 >= self.untouched => {
+                self.untouched.max((next + 2 * LOOKAHEAD).min(self.spec.tasks))
+            }
+            _ => self.untouched,
+        }
+    }
+
     pub fn is_dirty(&self) -> bool {
-        self.done.len() != self.written || self.open_to > self.untouched || self.at_fault != self.fault_recorded
+        self.done.len() != self.written
+            || self.wants_untouched() > self.untouched
+            || self.at_fault != self.fault_recorded
     }
 }
 
@@ -100,6 +110,9 @@
 /// More than any machine has, yet little enough to add up many times.
 const EVERYTHING: Amount = Amount(u64::MAX >> 24);
 
+/// How far ahead of the tasks started the record allows starts.
+pub(super) const LOOKAHEAD: u32 = 256;
+
 /// From how many jobs' tasks failing on a machine it is thought to be faulty, and for how long
 /// it then gets nothing to do, if it can't be given back.
 const SUSPICIOUS: usize = 2;
@@ -232,8 +245,6 @@
     /// What attempts have told of run times, if anybody wants to know.
     pub runs: Option<Runs>,
     pub line: Line,
-    /// How far ahead of the queue's front the records allow starts.
-    pub ahead: Ahead,
     /// How many jobs and machines were looked at on the path of reports: what a report costs.
     pub steps: Cell<u64>,
     /// Reports that came while it was loading.
@@ -285,7 +296,6 @@
             finished: Vec::new(),
             runs: None,
             line: Line::default(),
-            ahead: Ahead::default(),
             steps: Cell::new(0),
             early: Vec::new(),
             usage: HashMap::new(),
@@ -382,7 +392,6 @@
             written: done.len(),
             done,
             untouched,
-            open_to: untouched,
             running: HashMap::new(),
             writing: false,
             unsure: false,
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -25,6 +25,9 @@
     Known,
 }
 
+/// The tasks of a new job that may be started before its record is written again.
+const FIRST_STARTS: u32 = super::shard::LOOKAHEAD;
+
 pub(super) fn view(id: &JobId, state: JobState, done: u32, running: u32) -> Reply {
     Reply::json(200, &JobView { id: id.clone(), state, done, running })
 }
@@ -390,7 +393,7 @@
             shard,
             accepted_ms: self.day_ms,
             done: String::new(),
-            untouched: self.first_starts(shard, &spec),
+            untouched: spec.tasks.min(FIRST_STARTS),
             failing: false,
             job: spec,
         };
@@ -411,17 +414,6 @@
         self.call_state(StateCall::Commit { conditions, changes }, StateWork::Accept { shard, claim, record });
     }
 
-    /// Up to where a new job's record allows starts before it is written again.
-    fn first_starts(&self, shard: ShardId, spec: &JobSpec) -> u32 {
-        let late = self.cfg.own.recovery.open_late;
-        // Of a shard held elsewhere it is not known here how long its line is.
-        let soon = self.shards.get(&shard).is_some_and(|shard| shard.ahead.has_room());
-        match spec.kind {
-            JobKind::Array if late && !soon => 0,
-            _ => spec.tasks.min(super::ahead::LEAST),
-        }
-    }
-
     /// A job that another node accepted for one of this node's shards.
     pub(super) fn note_seen(&mut self, note: &str, version: Revision) {
         let Some((shard_id, job)) = records::parse_note(note) else { return };
--- a/tests/protocol.rs
+++ b/tests/protocol.rs
@@ -215,7 +215,6 @@
             assert!(ranges.iter().eq(plain.iter().copied()));
             assert_eq!((ranges.len() as usize, ranges.first()), (plain.len(), plain.first().copied()));
             assert_eq!(ranges.contains(n), plain.contains(&n));
-            assert_eq!(ranges.count_below(n) as usize, plain.range(..n).count());
             assert_eq!(RangeSet::parse(&ranges.to_string(), 60).as_ref(), Some(&ranges));
         }
         let part = ranges.within(40);
