Do not take a failure found after a takeover for the whole of a task's story

Cause: a machine that lost the answer in which it was told to forget a failure still lists it after a takeover. The former holder may have started the task elsewhere since; taking the failure for its end started it a second time while that other machine had not answered. Change: an exit that is not done frees an inherited task only if no unproven machine could have it.

--- a/src/coordination/shard.rs
+++ b/src/coordination/shard.rs
@@ -741,7 +741,11 @@
             self.place(&report.machine, told.attempt, attempt);
             return;
         };
-        if wanted {
+        // That this attempt is over does not say where the task is: the former holder may have read the same and
+        // started it elsewhere, and lost only the answer that has the machine forget it. So one that
+        // may still be hidden elsewhere remains to be found.
+        let told_all = exit == Exit::Done || job.is_none_or(|job| !self.recovery.may_hide(&job.spec));
+        if wanted && told_all {
             // Booked as running for a moment, so that its end is booked like any other.
             self.place(&report.machine, told.attempt, Attempt { state: None, ..attempt });
             self.finish(&report.machine, told.attempt, Outcome::Exited(exit), now);
--- a/tests/recovery.rs
+++ b/tests/recovery.rs
@@ -106,6 +106,52 @@
     assert!(without + 15 <= with, "the guard's test is no test: {without} without it, {with} with it");
 }
 
+/// A task fails on a machine that loses the answer which has it forget that; it is started anew elsewhere; the
+/// holder crashes; the machine where it failed is the first to be known, and the one where it runs the last.
+#[test]
+fn a_failure_found_after_a_takeover_does_not_say_that_the_task_runs_nowhere() {
+    let seed = 3;
+    let mut world = World::with_one_shard(seed, [3, 0]);
+    world.cloud.sound = true;
+    for id in 0..6 {
+        world.add_user(spec(id, JobKind::Service, "free", 2, 4.0), u64::MAX / 4, 2 * SEC, None, false);
+    }
+    let here = |world: &World, job: &JobId, besides: Option<u32>| {
+        let others = world.workers.values().filter(|worker| Some(worker.number) != besides);
+        let mut hosts =
+            others.filter(|worker| worker.tasks.keys().any(|(task, _)| task.job == *job && task.task.0 == 0));
+        hosts.next().map(|worker| worker.number)
+    };
+    world.run_until(14 * SEC);
+    let job = world.users[0].spec.id.clone();
+    let first = here(&world, &job, None).expect("its first task has been started");
+    let end = world.now + 8 * SEC;
+    if let Some(worker) = world.workers.get_mut(&first) {
+        (worker.faulty, worker.deaf_until) = (true, end);
+        worker.tasks.iter_mut().filter(|((task, _), _)| task.job == job).for_each(|(_, task)| task.until = 0);
+    }
+    let mut second = None;
+    while second.is_none() && world.now < end {
+        let next = world.now + 5 * MS;
+        world.run_until(next);
+        second = here(&world, &job, Some(first));
+    }
+    let second = second.expect("it is started anew elsewhere");
+    if let Some(worker) = world.workers.get_mut(&first) {
+        (worker.faulty, worker.deaf_until) = (false, 0);
+    }
+    world.run_until(world.now + 1700 * MS);
+    let listed = world.workers.get(&first).is_some_and(|w| w.tasks.keys().any(|(task, _)| task.job == job));
+    assert!(listed, "the first machine still tells of the failure");
+    let until = world.now + 8 * SEC;
+    world.cuts.push(Cut { a: Host::Machine(second), b: None, until, hold: false });
+    world.cloud.keeps_until = until;
+    let node = holder(&world);
+    world.crash(node, 200 * MS);
+    world.run_until(until + 20 * SEC);
+    assert_kept(&world, seed);
+}
+
 /// A day on which the holder, and whoever takes over from it, is hit again and again while it recovers.
 fn hard_day(seed: u64, what: usize) -> World {
     let mut world = at_work(World::with_one_shard(seed, [12, 12]));
--- a/tests/world/workers.rs
+++ b/tests/world/workers.rs
@@ -31,6 +31,8 @@
     pub spot: bool,
     pub up_at: u64,
     pub hung_until: u64,
+    /// Until then the answers to its reports get lost.
+    pub deaf_until: u64,
     pub faulty: bool,
     pub notice_at: Option<u64>,
     pub session: u64,
@@ -56,6 +58,7 @@
             spot,
             up_at,
             hung_until: 0,
+            deaf_until: 0,
             faulty: false,
             notice_at: None,
             session: 1,
@@ -281,6 +284,9 @@
         let now = self.now;
         let Some(worker) = self.workers.get_mut(&number) else { return };
         let Some((_, sent, session)) = worker.flight.filter(|(id, ..)| *id == report) else { return };
+        if now < worker.deaf_until {
+            return;
+        }
         if now < worker.hung_until {
             // Read when it goes on; by then it is usually too old.
             let at = worker.hung_until + MS;
