--- a/crates/recovery/src/sweep.rs
+++ b/crates/recovery/src/sweep.rs
@@ -4,7 +4,7 @@
 use crowstall_model::time::{Span, Time};
 use hdrhistogram::Histogram;
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap};
 
 /// How many are asked at first, and at the least.
 const FIRST: f64 = 16.0;
@@ -19,13 +19,29 @@
 /// every time.
 type Rank = (Reverse<Amount>, MachineId);
 
+/// A machine that is not known yet.
+struct Candidate {
+    size: Amount,
+    /// How often it was asked in vain.
+    tries: u32,
+    state: State,
+}
+
+#[derive(Clone, Copy)]
+enum State {
+    Waiting,
+    /// It did not answer, and is asked again then.
+    Resting(Time),
+    /// It is being asked, since then.
+    Asked(Time),
+}
+
 pub(crate) struct Sweep {
+    candidates: HashMap<MachineId, Candidate>,
+    /// Those that wait, those that rest and those that are being asked, each in order.
     waiting: BTreeSet<Rank>,
-    /// Machines that did not answer, by when they are asked again.
-    resting: BTreeSet<(Time, Rank)>,
-    /// Machines that are being asked, since when, and how often they were asked in vain.
-    asked: HashMap<MachineId, (Time, Rank)>,
-    tries: BTreeMap<MachineId, u32>,
+    resting: BTreeSet<(Time, MachineId)>,
+    asked: BTreeSet<(Time, MachineId)>,
     /// How many questions may be open that are no older than `PATIENCE`.
     window: f64,
     most: f64,
@@ -38,10 +54,10 @@
     pub(crate) fn new(most: usize) -> Sweep {
         let most = (most as f64).max(1.0);
         Sweep {
+            candidates: HashMap::new(),
             waiting: BTreeSet::new(),
             resting: BTreeSet::new(),
-            asked: HashMap::new(),
-            tries: BTreeMap::new(),
+            asked: BTreeSet::new(),
             window: FIRST.min(most),
             most,
             count: 0,
@@ -50,70 +66,86 @@
     }
 
     pub(crate) fn clear(&mut self) {
+        self.candidates.clear();
         self.waiting.clear();
         self.resting.clear();
         self.asked.clear();
-        self.tries.clear();
     }
 
     pub(crate) fn add(&mut self, id: MachineId, size: Resources) {
-        self.waiting.insert((Reverse(size.cpus), id));
+        self.take_out(&id);
+        let candidate = Candidate { size: size.cpus, tries: 0, state: State::Waiting };
+        self.put(id, candidate);
+    }
+
+    fn put(&mut self, id: MachineId, candidate: Candidate) {
+        match candidate.state {
+            State::Waiting => self.waiting.insert((Reverse(candidate.size), id.clone())),
+            State::Resting(until) => self.resting.insert((until, id.clone())),
+            State::Asked(since) => self.asked.insert((since, id.clone())),
+        };
+        self.candidates.insert(id, candidate);
+    }
+
+    fn take_out(&mut self, id: &MachineId) -> Option<Candidate> {
+        let candidate = self.candidates.remove(id)?;
+        match candidate.state {
+            State::Waiting => self.waiting.remove(&(Reverse(candidate.size), id.clone())),
+            State::Resting(until) => self.resting.remove(&(until, id.clone())),
+            State::Asked(since) => self.asked.remove(&(since, id.clone())),
+        };
+        Some(candidate)
+    }
+
+    fn set(&mut self, id: &MachineId, state: State) {
+        if let Some(candidate) = self.take_out(id) {
+            self.put(id.clone(), Candidate { state, ..candidate });
+        }
     }
 
     pub(crate) fn next(&mut self, now: Time) -> Vec<MachineId> {
-        while let Some((due, _)) = self.resting.first()
-            && *due <= now
+        while let Some((due, id)) = self.resting.first().cloned()
+            && due <= now
         {
-            if let Some((_, rank)) = self.resting.pop_first() {
-                self.waiting.insert(rank);
-            }
+            self.set(&id, State::Waiting);
         }
-        let open = self.asked.values().filter(|(since, _)| now.since(*since) < PATIENCE).count();
+        let open = self.asked.iter().rev().take_while(|(since, _)| now.since(*since) < PATIENCE).count();
         // Every open question takes a socket, also one that nobody will answer.
         let sockets = (4.0 * self.most) as usize;
         let free = (self.window as usize).saturating_sub(open).min(sockets.saturating_sub(self.asked.len()));
-        let mut asks = Vec::new();
-        while asks.len() < free
-            && let Some(rank) = self.waiting.pop_first()
-        {
-            let id = rank.1.clone();
-            self.asked.insert(id.clone(), (now, rank));
-            self.count += 1;
-            asks.push(id);
+        let asks: Vec<MachineId> = self.waiting.iter().take(free).map(|(_, id)| id.clone()).collect();
+        for id in &asks {
+            self.asked(id, now);
         }
         asks
     }
 
     pub(crate) fn asked(&mut self, id: &MachineId, now: Time) {
-        if let Some((since, _)) = self.asked.get_mut(id) {
-            *since = now;
+        if self.candidates.contains_key(id) {
+            self.set(id, State::Asked(now));
             self.count += 1;
         }
     }
 
     /// The machine is known, by its answer or in another way.
     pub(crate) fn answered(&mut self, id: &MachineId, now: Time) {
-        self.tries.remove(id);
-        if let Some((since, _)) = self.asked.remove(id) {
-            let took = now.since(since);
-            if let Some(answers) = &mut self.answers {
-                answers.saturating_record(took.as_millis());
-            }
-            if took < PATIENCE {
-                self.window = (self.window + 1.0).min(self.most);
-            }
-            return;
+        let Some(Candidate { state: State::Asked(since), .. }) = self.take_out(id) else { return };
+        let took = now.since(since);
+        if let Some(answers) = &mut self.answers {
+            answers.saturating_record(took.as_millis());
+        }
+        if took < PATIENCE {
+            self.window = (self.window + 1.0).min(self.most);
         }
-        self.waiting.retain(|(_, other)| other != id);
-        self.resting.retain(|(_, (_, other))| other != id);
     }
 
     pub(crate) fn unanswered(&mut self, id: &MachineId, now: Time) {
-        let Some((_, rank)) = self.asked.remove(id) else { return };
-        let tries = self.tries.entry(id.clone()).or_default();
-        let pause = FIRST_PAUSE.times(f64::from(1u32 << (*tries).min(8))).min(LONGEST_PAUSE);
-        *tries += 1;
-        self.resting.insert((now + pause, rank));
+        let Some(candidate) = self.candidates.get_mut(id).filter(|it| matches!(it.state, State::Asked(_))) else {
+            return;
+        };
+        let pause = FIRST_PAUSE.times(f64::from(1u32 << candidate.tries.min(8))).min(LONGEST_PAUSE);
+        candidate.tries += 1;
+        self.set(id, State::Resting(now + pause));
     }
 
     pub(crate) fn strained(&mut self) {
