Take machines' records in at one place, and derive what can be derived

Need: a last read of the recovery work. The record of a machine was taken in by two copies of one loop, what is recorded of limits was kept beside what it follows from, unknown rooms were filled in at two places, and a check in the workers' tick could not fail any more. Change: take_machine, Cloud::room and Cloud::was_listed_since serve both callers each; ClaimTerms lost a field, Doubt a type.

--- a/crates/recovery/src/doubt.rs
+++ b/crates/recovery/src/doubt.rs
@@ -19,10 +19,6 @@
     pub gpus: Option<Amount>,
 }
 
-/// More than there can be anywhere, yet little enough to be added up many times.
-const EVERYTHING: Resources =
-    Resources { cpus: Amount(u64::MAX >> 8), gpus: Amount(u64::MAX >> 8), memory: Amount(u64::MAX >> 8) };
-
 #[derive(Default)]
 pub(crate) struct Doubt {
     unproven: BTreeMap<MachineId, Place>,
@@ -33,26 +29,6 @@
     found: HashMap<Name, Resources>,
 }
 
-/// A team's usage where nobody has looked, before what the caller knows of besides is added.
-pub(crate) struct Unseen {
-    rooms: Resources,
-    most: Option<Resources>,
-}
-
-impl Unseen {
-    pub(crate) fn plus_others(self, others: Resources) -> Resources {
-        let rooms = self.rooms.plus(&others);
-        match self.most {
-            Some(most) => Resources {
-                cpus: rooms.cpus.min(most.cpus),
-                gpus: rooms.gpus.min(most.gpus),
-                memory: rooms.memory.min(most.memory),
-            },
-            None => rooms,
-        }
-    }
-}
-
 impl Doubt {
     pub(crate) fn add(&mut self, id: MachineId, place: Place) {
         if self.unproven.insert(id, place.clone()).is_none() {
@@ -102,22 +78,21 @@
         &self,
         team: &Name,
         limit: Option<Limit>,
-        room: impl Fn(&Name) -> Option<Resources>,
-    ) -> Unseen {
-        let rooms = self.places.iter().fold(Resources::default(), |sum, (place, count)| {
-            let room = room(&place.kind).unwrap_or(EVERYTHING);
-            let times = |amount: Amount| Amount(amount.0.saturating_mul(*count).min(EVERYTHING.cpus.0));
+        room: impl Fn(&Name) -> Resources,
+        others: Resources,
+    ) -> Resources {
+        let rooms = self.places.iter().fold(others, |sum, (place, count)| {
+            let room = room(&place.kind);
+            let times = |amount: Amount| Amount(amount.0.saturating_mul(*count));
             sum.plus(&Resources { cpus: times(room.cpus), gpus: times(room.gpus), memory: times(room.memory) })
         });
-        let most = limit.map(|limit| {
-            let found = self.found.get(team).copied().unwrap_or_default();
-            Resources {
-                cpus: limit.cpus.unwrap_or(EVERYTHING.cpus),
-                gpus: limit.gpus.unwrap_or(EVERYTHING.gpus),
-                memory: EVERYTHING.memory,
-            }
-            .minus(&found)
-        });
-        Unseen { rooms, most }
+        let Some(limit) = limit else { return rooms };
+        let found = self.found.get(team).copied().unwrap_or_default();
+        let most = |limit: Option<Amount>, found: Amount| limit.map_or(u64::MAX, |most| most.0.saturating_sub(found.0));
+        Resources {
+            cpus: Amount(rooms.cpus.0.min(most(limit.cpus, found.cpus))),
+            gpus: Amount(rooms.gpus.0.min(most(limit.gpus, found.gpus))),
+            memory: rooms.memory,
+        }
     }
 }
--- a/crates/recovery/src/lib.rs
+++ b/crates/recovery/src/lib.rs
@@ -138,15 +138,15 @@
     }
 
     /// The most that a team may be using where nobody has looked: on unproven machines and on those in
-    /// `others`. `room` says what a type of machine has, if it is known.
+    /// `others`. `room` says what a type of machine has room for.
     pub fn unseen_usage(
         &self,
         team: &Name,
         limit: Option<Limit>,
-        room: impl Fn(&Name) -> Option<Resources>,
+        room: impl Fn(&Name) -> Resources,
         others: Resources,
     ) -> Resources {
-        self.doubt.unseen(team, limit.filter(|_| self.piecewise), room).plus_others(others)
+        self.doubt.unseen(team, limit.filter(|_| self.piecewise), room, others)
     }
 
     /// What has come since this was last asked, in order.
--- a/crates/recovery/src/stage.rs
+++ b/crates/recovery/src/stage.rs
@@ -80,7 +80,7 @@
 pub(crate) struct Timeline {
     claimed_at: Time,
     at: [Option<Time>; ALL.len()],
-    /// How many milestones were already told.
+    /// Which of them were told already.
     told: [bool; ALL.len()],
     jobs: usize,
     machines: usize,
--- a/src/coordination/cloud.rs
+++ b/src/coordination/cloud.rs
@@ -50,6 +50,16 @@
         }
     }
 
+    /// What a machine of that type has room for, if the type is known.
+    pub fn room(&self, kind: &Name) -> Option<Resources> {
+        self.types.get(kind).map(|kind| kind.room)
+    }
+
+    /// Whether a list has come in whole since then.
+    pub fn was_listed_since(&self, then: Time) -> bool {
+        self.list_read.is_some_and(|at| at >= then)
+    }
+
     /// How many seconds an image takes to be fetched where that is quickest; without end if no type is known.
     pub fn least_fetch(&self, image_gb: f64) -> f64 {
         self.types.values().map(|kind| image_gb / kind.fetch_gb_per_s).fold(f64::MAX, f64::min)
@@ -90,8 +100,7 @@
         }
         // A new holder has to know what the former one has rented before it rents anything itself.
         let newest = self.shards.values().map(|shard| shard.recovery.claimed_at()).max().unwrap_or_default();
-        let unread = self.cloud.list_read.is_none_or(|at| at < newest);
-        let pause = if unread { FIRST_LIST_PAUSE } else { LIST_PAUSE };
+        let pause = if self.cloud.was_listed_since(newest) { LIST_PAUSE } else { FIRST_LIST_PAUSE };
         let due = self.cloud.listed_at == Time::ZERO || now.since(self.cloud.listed_at) >= pause;
         if !self.cloud.list_call && due && self.cloud.budget.take(now, 1.0) {
             self.cloud.list_call = true;
--- a/src/coordination/controller.rs
+++ b/src/coordination/controller.rs
@@ -35,9 +35,7 @@
 
 /// What a claim was made with.
 pub(super) struct ClaimTerms {
-    /// What it writes of the limits of teams that it goes by, see `LastRecord`.
-    pub(super) writes: Option<String>,
-    /// All former holders went by the same limits as this node.
+    /// All former holders went by the same limits of teams as this node, see `LastRecord`.
     pub(super) same_limits: bool,
     /// It takes this node's own claim from before it was started anew.
     pub(super) reclaimed: bool,
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -74,7 +74,7 @@
         let Some(shard) = self.shards.get_mut(&id) else { return };
         // After a takeover nobody here knows which machines are on their way before the cloud has listed them.
         let claimed_at = shard.recovery.claimed_at();
-        if self.cloud.list_read.is_none_or(|at| at < claimed_at) && now.since(claimed_at) < LIST_WAIT {
+        if !self.cloud.was_listed_since(claimed_at) && now.since(claimed_at) < LIST_WAIT {
             return;
         }
         shard.taking.retain(|_, (_, since)| now.since(*since) < Span::millis(3000));
--- a/src/coordination/members.rs
+++ b/src/coordination/members.rs
@@ -162,11 +162,12 @@
         }
         view.seen(entry.version, self.now);
         view.holder = Some(record.node.clone());
-        let mine = record.node == self.cfg.label && record.life == self.life;
+        let by_label = record.node == self.cfg.label;
+        let mine = by_label && record.life == self.life;
         // This node's own from before it was started anew. That process is surely gone: only one can
         // listen at an address, and this one does. So nobody has to wait for its lease to run out.
-        let former = record.node == self.cfg.label && record.life != self.life;
-        let former = former && record.front == Some(self.cfg.front) && self.cfg.own.recovery.reclaim;
+        let here = record.front == Some(self.cfg.front);
+        let former = by_label && !mine && here && self.cfg.own.recovery.reclaim;
         match self.shards.get(&id).map(|shard| shard.claim) {
             Some(claim) if claim < entry.version => self.drop_shard(id, "claimed by another node"),
             // A claim or a release of ours whose answer was lost. It is claimed anew rather than
@@ -225,12 +226,11 @@
         let Some(hold) = self.hold.as_ref().map(|hold| hold.id) else { return };
         let (last_version, last) = self.views[id.0 as usize].last.clone().unwrap_or_default();
         let digest = &self.cfg.limits_digest;
-        let same_limits = last.as_ref() == Some(digest);
-        let terms = ClaimTerms { writes: last.filter(|_| same_limits), same_limits, reclaimed };
+        let terms = ClaimTerms { same_limits: last.as_ref() == Some(digest), reclaimed };
         let front = Some(self.cfg.front);
         let record = ShardRecord { node: self.cfg.label.clone(), life: self.life, front };
         let (key, last_key) = (records::shard_key(id), records::last_key(id));
-        let last_record = to_value(&LastRecord { limits: terms.writes.clone() });
+        let last_record = to_value(&LastRecord { limits: last.filter(|_| terms.same_limits) });
         let request = StateCall::Commit {
             conditions: vec![(key.clone(), version), (last_key.clone(), last_version)],
             changes: vec![
--- a/src/coordination/recovery.rs
+++ b/src/coordination/recovery.rs
@@ -3,7 +3,7 @@
 
 use super::*;
 use crate::bookkeeping::records::{self, LastRecord, LiveRecord, MachineRecord, to_value};
-use crate::protocol::state::Change;
+use crate::protocol::state::{Change, Entry};
 use crowstall_recovery::{Milestone, Recovery, Summary};
 use serde::Serialize;
 
@@ -33,7 +33,7 @@
         let view = &mut self.views[id.0 as usize];
         view.holder = Some(self.cfg.label.clone());
         view.seen(claim, now);
-        view.last = Some((claim, terms.writes.clone()));
+        view.last = Some((claim, terms.same_limits.then(|| self.cfg.limits_digest.clone())));
         let own = &self.cfg.own.recovery;
         let mut shard = Shard::new(id, claim, Recovery::claimed(now, own.asks, own.piecewise));
         shard.same_limits = terms.same_limits;
@@ -78,32 +78,22 @@
     }
 
     pub(super) fn loaded_machines(&mut self, id: ShardId, claim: Revision, answer: Result<StateAnswer, CallError>) {
-        let proof_by = self.now + self.grace() + self.cfg.lease.stretched() + Span::millis(500);
-        let Some(shard) = self.shards.get_mut(&id).filter(|shard| shard.claim == claim) else { return };
+        let Some(shard) = self.shard_under(id, claim) else { return };
         let Ok(StateAnswer::Page { entries, more }) = answer else {
             shard.retry_load = true;
             return;
         };
         for entry in &entries {
-            let name = entry.key.strip_prefix(records::MACHINES).unwrap_or_default();
-            match serde_json::from_value::<MachineRecord>(entry.value.clone()) {
-                Ok(record) => {
-                    let machine = MachineId::new(name);
-                    self.machine_homes.insert(machine.clone(), record.shard);
-                    if record.shard == id {
-                        let size = self.cloud.types.get(&record.kind).map(|kind| kind.room).unwrap_or_default();
-                        shard.load_machine(machine, &record, entry.version, proof_by, size);
-                    }
-                }
-                Err(error) => log::error!("record {} can't be read: {error}", entry.key),
-            }
+            self.take_machine(id, claim, entry);
         }
         if let (true, Some(last)) = (more, entries.last()) {
             self.load_machines(id, claim, Some(last.key.clone()));
             return;
         }
+        let now = self.now;
+        let Some(shard) = self.shards.get_mut(&id) else { return };
         let jobs = shard.jobs.len();
-        shard.recovery.loaded(self.now, jobs);
+        shard.recovery.loaded(now, jobs);
         shard.release_hidden();
         log::info!("shard {id} loaded: {jobs} jobs, {} machines", shard.machines.len());
         let early = std::mem::take(&mut shard.early);
@@ -115,6 +105,24 @@
         self.tell_milestones(id);
     }
 
+    /// Takes a machine in as its record has it, if that names the shard and it is not there yet.
+    pub(super) fn take_machine(&mut self, id: ShardId, claim: Revision, entry: &Entry) {
+        let record = match serde_json::from_value::<MachineRecord>(entry.value.clone()) {
+            Ok(record) => record,
+            Err(error) => return log::error!("record {} can't be read: {error}", entry.key),
+        };
+        let machine = MachineId::new(entry.key.strip_prefix(records::MACHINES).unwrap_or_default());
+        self.machine_homes.insert(machine.clone(), record.shard);
+        let proof_by = self.now + self.grace() + self.cfg.lease.stretched() + Span::millis(500);
+        let size = self.cloud.room(&record.kind).unwrap_or_default();
+        let Some(shard) = self.shard_under(id, claim) else { return };
+        if record.shard == id && !shard.machines.contains_key(&machine) {
+            shard.booting.remove(&machine);
+            shard.taking.remove(&machine);
+            shard.load_machine(machine, &record, entry.version, proof_by, size);
+        }
+    }
+
     /// Loading that was refused or unanswered starts again: a claim must not lie idle.
     fn retry_loads(&mut self) {
         let again: Vec<(ShardId, Revision)> = self
@@ -174,7 +182,7 @@
             }
         };
         let this = (report.session, report.seq);
-        if !entitled || this <= machine.last {
+        if !entitled || report.machine != *id || this <= machine.last {
             shard.recovery.unanswered(id, now);
         } else if executed && report.token >= machine.token {
             // Under the new token, so no former holder's command comes after it; and this holder
@@ -265,28 +273,25 @@
 
     /// Remembers how a shard came back, when it is let go.
     pub(super) fn keep_account(&mut self, shard: &Shard) {
-        let account = self.account_of(shard);
-        self.accounts.push_back(account);
+        self.accounts.push_back(self.account_of(shard));
         if self.accounts.len() > MOST_KEPT {
             self.accounts.pop_front();
         }
     }
 
     fn account_of(&self, shard: &Shard) -> Account {
-        let (shard, summary) = (shard, shard.recovery.summary(self.now));
         Account {
             shard: shard.id,
             claim: shard.claim,
             claimed_ms: shard.claimed_ms,
             reclaimed: shard.reclaimed,
-            summary,
+            summary: shard.recovery.summary(self.now),
         }
     }
 
     /// How this node's shards came back: those it holds and the newest of those it has let go.
     pub(super) fn recoveries(&self) -> Reply {
         let held: Vec<Account> = self.shards.values().map(|shard| self.account_of(shard)).collect();
-        let past: Vec<&Account> = self.accounts.iter().collect();
-        Reply::json(200, &serde_json::json!({ "node": self.cfg.label, "held": held, "past": past }))
+        Reply::json(200, &serde_json::json!({ "node": self.cfg.label, "held": held, "past": self.accounts }))
     }
 }
--- a/src/coordination/returns.rs
+++ b/src/coordination/returns.rs
@@ -106,15 +106,14 @@
                 self.forget_machine(*id, &name);
             }
         }
-        for id in ids.clone() {
-            self.expect_booting(id);
+        for id in &ids {
+            self.expect_booting(*id);
         }
         self.purge_strays(&ids);
     }
 
     /// Takes in machines that a former holder has rented and that are not up yet: they are room to come, and need
-    /// not be rented once more.
-    /// What was rented under this claim is known; the list would only bring back what has been returned since.
+    /// not be rented once more. What was rented under this claim is known; the list would only bring back what has been returned since.
     fn expect_booting(&mut self, id: ShardId) {
         let now = self.now;
         let Some(claimed_at) = self.shards.get(&id).map(|shard| shard.recovery.claimed_at()) else { return };
--- a/src/coordination/shard.rs
+++ b/src/coordination/shard.rs
@@ -532,11 +532,10 @@
             return located;
         }
         let everything = Resources { cpus: EVERYTHING, gpus: EVERYTHING, memory: EVERYTHING };
-        let room = |kind: &Name| types.get(kind).map(|kind| kind.room);
+        let room = |kind: &Name| types.get(kind).map_or(everything, |kind| kind.room);
         self.step(self.strangers.len());
         let strange = self.strangers.iter().filter_map(|id| self.machines.get(id));
-        let others =
-            strange.fold(Resources::default(), |sum, machine| sum.plus(&room(&machine.kind).unwrap_or(everything)));
+        let others = strange.fold(Resources::default(), |sum, machine| sum.plus(&room(&machine.kind)));
         let limit = cfg.teams.get(team).filter(|_| self.same_limits);
         let limit = limit.map(|team| Limit { cpus: team.cpus_max, gpus: team.gpus_max });
         located.plus(&self.recovery.unseen_usage(team, limit, room, others))
--- a/src/coordination/workers.rs
+++ b/src/coordination/workers.rs
@@ -133,19 +133,9 @@
 
     /// Reads in a machine whose record names a shard of ours.
     pub(super) fn machine_arrived(&mut self, shard: ShardId, claim: Revision, answer: Result<StateAnswer, CallError>) {
-        let proof_by = self.now + self.grace() + self.cfg.lease.stretched() + Span::millis(500);
         let Ok(StateAnswer::Found(entry)) = answer else { return };
-        let id = MachineId::new(entry.key.strip_prefix(records::MACHINES).unwrap_or_default());
-        let Ok(record) = serde_json::from_value::<MachineRecord>(entry.value) else { return };
-        self.machine_homes.insert(id.clone(), record.shard);
-        let size = self.cloud.types.get(&record.kind).map(|kind| kind.room).unwrap_or_default();
-        let Some(mine) = self.shard_under(shard, claim) else { return };
-        if record.shard == shard && !mine.machines.contains_key(&id) {
-            mine.booting.remove(&id);
-            mine.taking.remove(&id);
-            mine.load_machine(id, &record, entry.version, proof_by, size);
-            self.sweep(shard);
-        }
+        self.take_machine(shard, claim, &entry);
+        self.sweep(shard);
     }
 
     fn serve_report(&mut self, ask: Asker, shard_id: ShardId, report: Box<Report>) {
@@ -249,14 +239,15 @@
         let Some(machine) = shard.machines.get_mut(&id) else { return };
         machine.probing = false;
         match answer {
-            Ok(WorkerAnswer::Executed(report) | WorkerAnswer::Rejected(report)) if report.machine != id => {}
             answer if !machine.proven => self.proof_answered(shard_id, &id, answer),
             // It is there. What it says is not read: a command in an answer to a report of it may
             // still be on its way, and would seem to be missing.
-            Ok(_) => {
+            Ok(WorkerAnswer::Executed(report) | WorkerAnswer::Rejected(report)) if report.machine == id => {
                 machine.seen = now;
                 machine.unanswered = 0;
             }
+            // Another machine has its address.
+            Ok(_) => {}
             Err(_) => machine.unanswered += 1,
         }
     }
@@ -287,7 +278,7 @@
     pub(super) fn workers_tick(&mut self) {
         let now = self.now;
         let lease = self.cfg.lease;
-        let (entitled, may_renew) = (self.entitled(), self.may_renew());
+        let entitled = self.entitled();
         let ids: Vec<ShardId> = self.shards.keys().copied().collect();
         for id in ids {
             let Some(shard) = self.shards.get_mut(&id) else { continue };
@@ -317,9 +308,6 @@
                 log::warn!("machine {machine_id}: its lease has run out");
                 shard.lose_all(machine_id, now);
             }
-            if !may_renew {
-                continue;
-            }
             self.make_room(id);
             if now.0 / 1_000_000 != self.last_probe.0 / 1_000_000 {
                 self.probe_machines(id);
