--- a/benches/following.rs
+++ b/benches/following.rs
@@ -46,6 +46,7 @@
         checkpoint_s: 0.0,
         save_s: 0.0,
         deadline_s: None,
+        prerequisites: Vec::new(),
     };
     let done = "0-40,42,45-90".to_string();
     let record =
--- a/crates/model/src/model.rs
+++ b/crates/model/src/model.rs
@@ -172,6 +172,9 @@
     pub save_s: f64,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub deadline_s: Option<f64>,
+    /// Jobs that have to be done before any task of this one starts, and are not known to be done.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub prerequisites: Vec<JobId>,
 }
 
 fn is_false(value: &bool) -> bool {
--- a/crates/standby/src/members.rs
+++ b/crates/standby/src/members.rs
@@ -23,6 +23,8 @@
     pub state_quiet: Span,
     /// How long ago it heard each of the others.
     pub hears: Vec<(NodeLabel, Span)>,
+    /// Which messages it understands; 0 if it did not say.
+    pub speaks: u32,
 }
 
 /// What is known of another controller.
--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -3,6 +3,8 @@
 //! `shard/N` says who holds a shard and ends with the holder's lease. `live/JOB` is an accepted
 //! job that has not ended, `end/JOB` one that has: a job moves from the one to the other in a
 //! single transaction, so that a reader that asks for `live` first and `end` second sees it.
+//! A job that waits for others lies there too, under a shard that does not exist, so that a version of the
+//! program that knows nothing of waiting finds it and starts nothing of it (docs/upgrade.md).
 //! `machine/NAME` says which shard a machine belongs to. `shard/new/N/JOB` tells the holder of shard N
 //! of a job that another node accepted for it; it sorts after all shards and is read along with them.
 //! `shard/last/N` outlives the claims on shard N and says by which limits its holders went.
@@ -17,6 +19,7 @@
 pub const SHARDS: &str = "shard/";
 const NOTES: &str = "shard/new/";
 pub const LIVE: &str = "live/";
+pub const ENDS: &str = "end/";
 pub const MACHINES: &str = "machine/";
 pub const FORECASTS: &str = "forecast/";
 
@@ -50,7 +53,12 @@
 }
 
 pub fn end_key(job: &JobId) -> String {
-    format!("end/{job}")
+    format!("{ENDS}{job}")
+}
+
+/// The job that a key of an end is of.
+pub fn job_of_end(key: &str) -> JobId {
+    JobId::new(key.strip_prefix(ENDS).unwrap_or_default())
 }
 
 /// Where what was learned in a shard is kept.
@@ -93,12 +101,25 @@
     pub node: NodeLabel,
 }
 
+/// By how much a job's record may grow after it was written first, the ranges of completed tasks aside: `ready_ms`,
+/// `failing`, and longer numbers.
+pub const LATER_BYTES: usize = 96;
+
+/// The shard in which jobs that wait for others are recorded: nobody can hold it.
+pub const NO_SHARD: ShardId = ShardId(u32::MAX);
+
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct LiveRecord {
     pub shard: ShardId,
+    /// While it waits for other jobs: the shard that it is of.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub home: Option<ShardId>,
     pub job: JobSpec,
     /// When it was accepted, by the time of day, in milliseconds.
     pub accepted_ms: u64,
+    /// When the last of the jobs that it needs was done, if it had to wait for any.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub ready_ms: Option<u64>,
     /// The tasks that have completed.
     #[serde(default)]
     pub done: String,
@@ -110,10 +131,25 @@
     pub failing: bool,
 }
 
+impl LiveRecord {
+    /// Some of the jobs that it needs may not be done.
+    pub fn is_waiting(&self) -> bool {
+        self.shard == NO_SHARD
+    }
+
+    /// The shard whose holder decides about the job.
+    pub fn decided_in(&self) -> ShardId {
+        self.home.filter(|_| self.is_waiting()).unwrap_or(self.shard)
+    }
+}
+
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct EndRecord {
     pub state: Final,
     pub done: u32,
+    /// The cancelled job that took this one along.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cause: Option<JobId>,
 }
 
 /// A snapshot of what was learned, as `crowstall_forecast::snapshot` writes it.
--- a/src/config.rs
+++ b/src/config.rs
@@ -8,6 +8,13 @@
 use std::fmt;
 use std::net::SocketAddrV4;
 use std::path::{Path, PathBuf};
+use std::sync::Arc;
+
+/// The most changes that any transaction must have room for: a job moves from `live` to `end`, a claim leaves
+/// word in `shard/last`, an acceptance from afar leaves a note.
+const LEAST_CHANGES: u32 = 2;
+/// A plain job's record has to fit, and so has anything else that is not bounded by this itself.
+const LEAST_VALUE_KB: f64 = 1.0;
 
 /// Why the program cannot start, in one line.
 #[derive(Debug)]
@@ -104,6 +111,8 @@
     class: Option<String>,
     #[serde(default)]
     within_s: Option<f64>,
+    #[serde(default)]
+    times: Option<f64>,
 }
 
 #[derive(Deserialize)]
@@ -119,6 +128,16 @@
     write_rps: f64,
     value_kb: f64,
     txn_ops: u32,
+    /// What will hold from some moment on, without notice.
+    next: Option<NextState>,
+}
+
+#[derive(Deserialize, Default)]
+struct NextState {
+    rps: Option<f64>,
+    write_rps: Option<f64>,
+    value_kb: Option<f64>,
+    txn_ops: Option<u32>,
 }
 
 #[derive(Deserialize)]
@@ -180,6 +199,8 @@
     pub max_sockets: usize,
     /// Tells whether two controllers go by the same limits of teams.
     pub limits_digest: String,
+    /// By how many times its deadline a class's job still counts for something, where that is known.
+    pub late_factors: Arc<BTreeMap<Name, f64>>,
     pub own: Properties,
 }
 
@@ -416,8 +437,27 @@
         if !(facts.cloud.list_lag_s.is_finite() && facts.cloud.list_lag_s >= 0.0) {
             return Err(ConfigError("facts.cloud.list_lag_s: not a number from 0 on".into()));
         }
-        if facts.state.txn_ops < 2 {
-            return Err(ConfigError("facts.state.txn_ops: at least 2 are needed".into()));
+        let next = facts.state.next.as_ref();
+        for (name, value) in [
+            ("facts.state.next.rps", next.and_then(|next| next.rps)),
+            ("facts.state.next.write_rps", next.and_then(|next| next.write_rps)),
+            ("facts.state.next.value_kb", next.and_then(|next| next.value_kb)),
+        ] {
+            positive(name, value.unwrap_or(1.0))?;
+        }
+        let next_ops = next.and_then(|next| next.txn_ops).unwrap_or(u32::MAX);
+        for (name, value) in [("facts.state.txn_ops", facts.state.txn_ops), ("facts.state.next.txn_ops", next_ops)] {
+            if value < LEAST_CHANGES {
+                return Err(ConfigError(format!("{name}: at least {LEAST_CHANGES} are needed")));
+            }
+        }
+        // The stricter of what holds and what will hold, from the first request on.
+        let stricter = |now: f64, next: Option<f64>| next.map_or(now, |next| next.min(now));
+        let value_kb = stricter(facts.state.value_kb, next.and_then(|next| next.value_kb));
+        if value_kb < LEAST_VALUE_KB {
+            let name =
+                if value_kb < facts.state.value_kb { "facts.state.next.value_kb" } else { "facts.state.value_kb" };
+            return Err(ConfigError(format!("{name}: at least {LEAST_VALUE_KB} is needed")));
         }
         if facts.size == 0 || facts.size > 1000 {
             return Err(ConfigError("facts.size: not a number from 1 to 1000".into()));
@@ -458,7 +498,12 @@
         let limits_digest = digest_of(&teams);
         let mut finish_within: BTreeMap<Name, Vec<Span>> = BTreeMap::new();
         let mut start_within: BTreeMap<Name, Span> = BTreeMap::new();
+        let mut late_factors: BTreeMap<Name, f64> = BTreeMap::new();
         for aim in &facts.objectives {
+            if let (Some(class), Some(times), "deadline") = (&aim.class, aim.times, aim.kind.as_str()) {
+                let most = late_factors.entry(Name::new(class)).or_insert(1.0);
+                *most = most.max(times);
+            }
             let (Some(class), Some(within)) = (&aim.class, aim.within_s) else { continue };
             let (class, within) = (Name::new(class), Span::secs(within));
             match aim.kind.as_str() {
@@ -500,13 +545,14 @@
             finish_within,
             start_within,
             limits_digest,
+            late_factors: Arc::new(late_factors),
             report: Span::secs(facts.workers.report_s),
             lease,
             cancel,
-            state_rps: facts.state.rps,
-            state_writes: facts.state.write_rps,
-            value_bytes: (facts.state.value_kb * 1024.0) as usize,
-            txn_ops: facts.state.txn_ops as usize,
+            state_rps: stricter(facts.state.rps, next.and_then(|next| next.rps)),
+            state_writes: stricter(facts.state.write_rps, next.and_then(|next| next.write_rps)),
+            value_bytes: (value_kb * 1024.0) as usize,
+            txn_ops: facts.state.txn_ops.min(next_ops) as usize,
             cloud_rps: facts.cloud.rps,
             list_lag: Span::secs(facts.cloud.list_lag_s),
             max_sockets: facts.machine_limits.max_sockets as usize,
--- a/src/coordination/binding.rs
+++ b/src/coordination/binding.rs
@@ -34,12 +34,20 @@
         (self.is_live() && may_try && now >= self.rest_until).then_some(task)
     }
 
-    /// Seconds left until the job should be done: until its deadline, or until the first of its
-    /// class's aims that can still be met. Nothing if there is none left to meet.
+    /// Seconds left until the job should be done: until its deadline or what those that need it leave
+    /// of theirs, or until the first of its class's aims that can still be met, or until its deadline has been
+    /// missed by so much that it does not matter any more. Nothing if there is none left to meet.
     pub fn time_left(&self, cfg: &Settings, day_ms: u64) -> Option<f64> {
-        let age = day_ms.saturating_sub(self.accepted_ms) as f64 / 1000.0;
-        let aims = cfg.finish_within.get(&self.spec.class).into_iter().flatten().map(|within| within.as_secs());
-        let mut ahead = self.spec.deadline_s.into_iter().chain(aims).map(|within| within - age);
+        let since = |from: u64| day_ms.saturating_sub(from) as f64 / 1000.0;
+        let (age, ready) = (since(self.accepted_ms), since(self.ready_ms));
+        let until = |due: Option<u64>| due.map(|due| (due as f64 - day_ms as f64) / 1000.0);
+        let urged = self.urged.map(|urged| (until(urged.due_ms), until(urged.late_ms))).unwrap_or_default();
+        let aims = cfg.finish_within.get(&self.spec.class).into_iter().flatten();
+        let aims = aims.map(|within| within.as_secs() - ready);
+        let own = self.spec.deadline_s.map(|within| within - age);
+        let factor = cfg.late_factors.get(&self.spec.class).copied().unwrap_or(1.0);
+        let late = self.spec.deadline_s.map(|within| within * factor - age);
+        let mut ahead = urged.0.into_iter().chain(own).chain(aims).chain(urged.1).chain(late);
         ahead.find(|left| *left > self.run_time())
     }
 
@@ -111,7 +119,7 @@
     /// All jobs that are not ending, the most urgent first, whether anything of them can be started or not.
     pub fn by_urgency(&self, cfg: &Settings, day_ms: u64) -> Vec<&Job> {
         let mut jobs: Vec<&Job> = self.jobs.values().filter(|job| job.ending.is_none()).collect();
-        jobs.sort_by_key(|job| (job.spec.priority, job.left_ms(cfg, day_ms), &job.order));
+        jobs.sort_by_key(|job| (job.priority(), job.left_ms(cfg, day_ms), &job.order));
         jobs
     }
 
@@ -137,7 +145,7 @@
                 let left = job.left_ms(market.cfg, market.day_ms);
                 // Of what nobody expects by a certain time, the team that uses least goes first.
                 let share = if left == u64::MAX && !within { used.cpus } else { Amount(0) };
-                Some((job.spec.priority, !within, left, share, &job.order))
+                Some((job.priority(), !within, left, share, &job.order))
             })
             .collect();
         line.sort();
@@ -198,14 +206,14 @@
         let now = market.now;
         let mut picked: Vec<(MachineId, Vec<AttemptNo>)> = Vec::new();
         // Only what is more urgent than something that runs can make anything give way.
-        let running = self.jobs.values().filter(|job| !job.running.is_empty()).map(|job| job.spec.priority);
+        let running = self.jobs.values().filter(|job| !job.running.is_empty()).map(|job| job.priority());
         let Some(least_urgent) = running.max() else { return picked };
         let queue: Vec<JobId> = self
             .queue(market)
             .iter()
             .filter(|id| {
                 let job = self.jobs.get(id).filter(|job| job.next_task(now).is_some());
-                job.is_some_and(|job| job.spec.priority < least_urgent)
+                job.is_some_and(|job| job.priority() < least_urgent)
             })
             .cloned()
             .collect();
@@ -281,7 +289,7 @@
             .filter_map(|(no, attempt)| {
                 let other = self.jobs.get(&attempt.task.job)?;
                 let ran = attempt.running_since.map_or(0.0, |since| now.since(since).as_secs());
-                (other.spec.priority > job.spec.priority).then_some((ran, *no, attempt.needs))
+                (other.priority() > job.priority()).then_some((ran, *no, attempt.needs))
             })
             .collect();
         lower.sort_by(|a, b| a.0.total_cmp(&b.0));
--- a/src/coordination/controller.rs
+++ b/src/coordination/controller.rs
@@ -3,7 +3,7 @@
 use super::following::{Copied, Following};
 use super::standby::Standby;
 use super::*;
-use crate::bookkeeping::records::LastRecord;
+use crate::bookkeeping::records::{EndRecord, LastRecord};
 use crate::protocol::peers::Offer;
 use crowstall_standby::{Members, Terms, Word};
 
@@ -93,6 +93,20 @@
         job: JobId,
         work: ledger::JobWrite,
     },
+    /// Of a job that waits for others.
+    Waiting {
+        shard: ShardId,
+        claim: Revision,
+        job: JobId,
+        work: pipelines::WaitingWrite,
+    },
+    /// How needs have ended that are not in memory.
+    ListEnds {
+        shard: ShardId,
+        claim: Revision,
+    },
+    CheckNeed(Box<pipelines::NeedCheck>),
+    Walk(Box<pipelines::Walk>),
     FindMachine {
         ask: Asker,
         report: Box<crate::protocol::workers::Report>,
@@ -214,14 +228,14 @@
 
 /// The newest ended jobs; older ones are read from the state service.
 pub(super) struct Ended {
-    pub(super) jobs: HashMap<JobId, (Final, u32)>,
+    pub(super) jobs: HashMap<JobId, EndRecord>,
     pub(super) order: VecDeque<JobId>,
     pub(super) most: usize,
 }
 
 impl Ended {
-    pub(super) fn insert(&mut self, job: JobId, state: Final, done: u32) {
-        if self.jobs.insert(job.clone(), (state, done)).is_none() {
+    pub(super) fn insert(&mut self, job: JobId, end: EndRecord) {
+        if self.jobs.insert(job.clone(), end).is_none() {
             self.order.push_back(job);
         }
         while self.order.len() > self.most {
@@ -474,6 +488,10 @@
             }
             StateWork::Accept { shard, claim, record } => self.accept_answered(shard, claim, *record, answer),
             StateWork::Job { shard, claim, job, work } => self.job_written(shard, claim, job, work, answer),
+            StateWork::Waiting { shard, claim, job, work } => self.waiting_written(shard, claim, job, work, answer),
+            StateWork::ListEnds { shard, claim } => self.ends_listed(shard, claim, answer),
+            StateWork::CheckNeed(check) => self.need_checked(*check, answer),
+            StateWork::Walk(walk) => self.walked(*walk, answer),
             StateWork::FindMachine { ask, report } => self.machine_found(ask, report, answer),
             StateWork::Adopt { shard, claim, ask, report } => self.adopted(shard, claim, ask, report, answer),
             StateWork::Forget { shard, claim, machine, version } => {
@@ -492,8 +510,8 @@
             return;
         }
         match message {
-            PeerMessage::Beat { entitled, ready, held, rented, spare, life, known, state_quiet, hears } => {
-                let word = Word { life, entitled, ready, held, known, state_quiet, hears };
+            PeerMessage::Beat { entitled, ready, held, rented, spare, life, known, state_quiet, hears, speaks } => {
+                let word = Word { life, entitled, ready, held, known, state_quiet, hears, speaks };
                 self.beat_heard(from, word, rented, spare)
             }
             PeerMessage::Released { shard } => self.shard_released(shard),
@@ -508,7 +526,7 @@
                     return;
                 }
                 match ask {
-                    PeerAsk::Submit(spec) => self.submit_here(asker, shard, *spec),
+                    PeerAsk::Submit(spec) | PeerAsk::SubmitWaiting(spec) => self.submit_here(asker, shard, *spec),
                     PeerAsk::Poll(job) => self.poll_here(asker, shard, job),
                     PeerAsk::Cancel(job) => self.cancel_here(asker, shard, job),
                     PeerAsk::Forecast(job) => self.forecast_here(asker, shard, job),
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -253,7 +253,8 @@
     /// for ever, where there are none.
     fn is_unhurried(&self, job: &super::shard::Job) -> bool {
         let spec = &job.spec;
-        if job.running.is_empty() && self.now.since(job.waiting_since) > LONG_WAIT {
+        let urged = job.urged.is_some_and(|urged| urged.priority < Priority::BestEffort || urged.due_ms.is_some());
+        if urged || job.running.is_empty() && self.now.since(job.waiting_since) > LONG_WAIT {
             return false;
         }
         let guaranteed = self.cfg.teams.get(&spec.team).is_some_and(|limits| limits.cpus > Amount(0));
--- a/src/coordination/following.rs
+++ b/src/coordination/following.rs
@@ -209,7 +209,7 @@
                 continue;
             }
             for (_, version, record) in self.following.jobs.records() {
-                if record.shard == id {
+                if record.decided_in() == id {
                     shard.load_job(record.clone(), version);
                 }
             }
--- a/src/coordination/ledger.rs
+++ b/src/coordination/ledger.rs
@@ -1,5 +1,6 @@
 //! Writing jobs' records: progress in rounds, ends at once.
 
+use super::pipelines::end_request;
 use super::*;
 use crate::bookkeeping::ranges::RangeSet;
 use crate::bookkeeping::records::{self, EndRecord, LiveRecord, to_value};
@@ -63,16 +64,11 @@
         }
         job.writing = true;
         job.refused = false;
-        let end = EndRecord { state, done: job.done.len() };
-        let (live, key) = (records::live_key(id), records::end_key(id));
-        let request = StateCall::Commit {
-            conditions: vec![
-                (records::shard_key(shard_id), claim),
-                (live.clone(), job.version),
-                (key.clone(), Revision(0)),
-            ],
-            changes: vec![Change::Delete(live), Change::Put { key, value: to_value(&end), hold: None }],
-        };
+        let end = EndRecord { state, done: job.done.len(), cause: None };
+        let request = end_request(shard_id, claim, id, job.version, &end);
+        if state == Final::Cancelled {
+            self.doubt_cancel(id, true);
+        }
         let work = StateWork::Job { shard: shard_id, claim, job: id.clone(), work: JobWrite::End(state) };
         self.call_state(request, work);
     }
@@ -106,6 +102,7 @@
             for id in rereads {
                 self.reread(shard_id, &id);
             }
+            self.pipelines_tick(shard_id);
             self.write_ends(shard_id, ends);
             dirty.sort();
             for (_, _, id) in dirty {
@@ -124,8 +121,10 @@
         let Some(job) = shard.jobs.get_mut(id) else { return };
         let mut record = LiveRecord {
             shard: shard_id,
+            home: None,
             job: job.spec.clone(),
             accepted_ms: job.accepted_ms,
+            ready_ms: (job.ready_ms != job.accepted_ms).then_some(job.ready_ms),
             done: String::new(),
             untouched: job.wants_untouched(),
             failing: job.at_fault,
@@ -198,6 +197,7 @@
                         job.untouched = record.untouched.min(job.spec.tasks);
                         job.fault_recorded = record.failing;
                         job.unsure = false;
+                        self.doubt_cancel(&id, false);
                     }
                     Err(error) => log::error!("record of job {id} can't be read: {error}"),
                 }
@@ -218,6 +218,7 @@
                 job.refused = true;
                 if job.ending.is_some() {
                     let askers = std::mem::take(&mut job.cancel_askers);
+                    self.doubt_cancel(&id, false);
                     for asker in askers {
                         self.reply(asker, Reply::busy("state not reachable"));
                     }
@@ -253,7 +254,8 @@
         log::info!("job {id} {state:?}");
         self.forecast_ended(shard_id, id, state);
         self.job_homes.remove(id);
-        self.ended.insert(id.clone(), state, job.done.len());
+        self.ended.insert(id.clone(), EndRecord { state, done: job.done.len(), cause: None });
+        self.need_ended(id, state);
         for asker in job.cancel_askers {
             self.cancel(asker, id.clone());
         }
--- a/src/coordination/members.rs
+++ b/src/coordination/members.rs
@@ -3,7 +3,7 @@
 use super::standby::{How, waits_for};
 use super::*;
 use crate::bookkeeping::records::{self, LastRecord, ShardRecord, to_value};
-use crate::protocol::peers::Offer;
+use crate::protocol::peers::{Offer, SPEAKS};
 use crate::protocol::state::{Change, Entry};
 use crowstall_standby::Word;
 use crowstall_standby::members::SILENT;
@@ -71,6 +71,7 @@
             known: self.members.known(),
             state_quiet: self.standby.state_quiet(self.now),
             hears: self.members.hears(self.now),
+            speaks: SPEAKS,
         };
         for (peer, _) in &self.cfg.peers {
             self.out.push(Action::Send { to: peer.clone(), message: message.clone() });
--- a/src/coordination/recovery.rs
+++ b/src/coordination/recovery.rs
@@ -35,7 +35,8 @@
         let limits = terms.same_limits.then(|| self.cfg.limits_digest.clone());
         self.last[id.0 as usize] = Some((claim, LastRecord { limits, overlap: terms.overlap.as_ref().map(|o| o.0) }));
         let own = &self.cfg.own.recovery;
-        let mut shard = Shard::new(id, claim, Recovery::claimed(now, own.asks, own.piecewise));
+        let late_factors = self.cfg.late_factors.clone();
+        let mut shard = Shard::new(id, claim, Recovery::claimed(now, own.asks, own.piecewise), late_factors);
         shard.right = Right::claimed(sent, self.standby.terms());
         shard.overlap = terms.overlap.map(|(terms, replaced)| Overlap::new(now, terms, replaced));
         shard.same_limits = terms.same_limits;
@@ -68,7 +69,7 @@
         };
         for entry in &entries {
             match serde_json::from_value::<LiveRecord>(entry.value.clone()) {
-                Ok(record) if record.shard == id => shard.load_job(record, entry.version),
+                Ok(record) if record.decided_in() == id => shard.load_job(record, entry.version),
                 Ok(_) => {}
                 Err(error) => log::error!("record {} can't be read: {error}", entry.key),
             }
@@ -115,7 +116,8 @@
         let jobs = shard.jobs.len();
         shard.recovery.loaded(now, jobs);
         shard.release_hidden();
-        log::info!("shard {id} loaded: {jobs} jobs, {} machines", shard.machines.len());
+        let (waiting, machines) = (shard.pipelines.len(), shard.machines.len());
+        log::info!("shard {id} loaded: {jobs} jobs, {waiting} that wait for others, {machines} machines");
         let early = std::mem::take(&mut shard.early);
         for (ask, report) in early {
             self.reported(ask, report);
--- a/src/coordination/runs.rs
+++ b/src/coordination/runs.rs
@@ -157,6 +157,7 @@
     use crate::bookkeeping::records::{LiveRecord, MachineRecord};
     use crate::protocol::workers::{Report, TaskReport};
     use crowstall_recovery::Recovery;
+    use std::sync::Arc;
 
     const JOB: &str = "wk-1";
 
@@ -171,7 +172,7 @@
     impl Scene {
         fn new(checkpoint_s: f64) -> Scene {
             let now = Time(1_000_000);
-            let mut shard = Shard::new(ShardId(0), Revision(5), Recovery::claimed(now, 1, true));
+            let mut shard = Shard::new(ShardId(0), Revision(5), Recovery::claimed(now, 1, true), Arc::default());
             shard.runs = Some(Runs::new(Span::millis(1000)));
             let text = format!(
                 r#"{{"shard":0,"accepted_ms":1,"untouched":4,"job":{{"id":"{JOB}","class":"c","team":"t","kind":"array",
--- a/src/coordination/shard.rs
+++ b/src/coordination/shard.rs
@@ -2,6 +2,7 @@
 
 use super::events::Asker;
 use super::orders::{Booting, Rental};
+use super::pipelines::Pipelines;
 use super::runs::{Progress, Runs, TaskRuns};
 use crate::bookkeeping::ranges::RangeSet;
 use crate::bookkeeping::records::{LiveRecord, MachineRecord};
@@ -10,6 +11,7 @@
 use crate::protocol::peers::Offer;
 use crate::protocol::workers::{Exit, Report, TaskState};
 use crate::time::{Span, Time};
+use crowstall_dependencies::Wish;
 use crowstall_recovery::{Limit, Place, Recovery};
 use crowstall_standby::{Checklist, Overlap, Right};
 use std::cell::Cell;
@@ -22,6 +24,10 @@
     /// The version of its record.
     pub version: Revision,
     pub accepted_ms: u64,
+    /// Since when it could run: when it was accepted, or the last job that it needed was done.
+    pub ready_ms: u64,
+    /// How urgent it is by its own words and for the sake of those that need it, if any do.
+    pub urged: Option<Wish>,
     /// Its place in the line.
     pub order: (u64, JobId),
     pub pending: RangeSet,
@@ -70,6 +76,11 @@
         self.spec.kind == JobKind::Array && self.done.len() == self.spec.tasks
     }
 
+    /// Its own, or that of a job that needs it if that is higher.
+    pub fn priority(&self) -> Priority {
+        self.urged.map_or(self.spec.priority, |urged| urged.priority.min(self.spec.priority))
+    }
+
     pub fn is_live(&self) -> bool {
         self.ending.is_none() && !self.unsure
     }
@@ -248,6 +259,8 @@
     /// The claim was this node's own from before it was started anew.
     pub reclaimed: bool,
     pub jobs: HashMap<JobId, Job>,
+    /// Jobs that wait for others, of which nothing may be started yet.
+    pub pipelines: Pipelines,
     pub machines: BTreeMap<MachineId, Machine>,
     pub booting: BTreeMap<MachineId, Booting>,
     /// Rentals on the way, by request name.
@@ -298,7 +311,7 @@
 }
 
 impl Shard {
-    pub fn new(id: ShardId, claim: Revision, recovery: Recovery) -> Shard {
+    pub fn new(id: ShardId, claim: Revision, recovery: Recovery, late_factors: Arc<BTreeMap<Name, f64>>) -> Shard {
         Shard {
             id,
             claim,
@@ -312,6 +325,7 @@
             claimed_ms: 0,
             reclaimed: false,
             jobs: HashMap::new(),
+            pipelines: Pipelines::new(late_factors),
             machines: BTreeMap::new(),
             booting: BTreeMap::new(),
             renting: BTreeMap::new(),
@@ -343,6 +357,7 @@
         self.retry_load = false;
         self.read_at = None;
         self.jobs.clear();
+        self.pipelines.clear();
         self.machines.clear();
         self.hiding.clear();
         self.recovery.restart_loading();
@@ -367,6 +382,10 @@
 
     /// Takes a job in as its record has it.
     pub fn load_job(&mut self, record: LiveRecord, version: Revision) {
+        if record.is_waiting() {
+            return self.wait_job(record, version);
+        }
+        let times = (record.accepted_ms, record.ready_ms.unwrap_or(record.accepted_ms));
         let spec = record.job;
         let done = RangeSet::parse(&record.done, spec.tasks).unwrap_or_default();
         let untouched = record.untouched.min(spec.tasks);
@@ -378,7 +397,7 @@
             };
         }
         let id = spec.id.clone();
-        self.insert_job(spec, version, record.accepted_ms, untouched, pending, unlocated, done);
+        self.insert_job(spec, version, times, untouched, pending, unlocated, done);
         if let Some(job) = self.jobs.get_mut(&id) {
             (job.at_fault, job.fault_recorded) = (record.failing, record.failing);
         }
@@ -389,7 +408,8 @@
         let pending = RangeSet::up_to(record.job.tasks);
         let (none, unlocated) = (RangeSet::new(), RangeSet::new());
         let id = record.job.id.clone();
-        self.insert_job(record.job, version, record.accepted_ms, record.untouched, pending, unlocated, none);
+        let times = (record.accepted_ms, record.ready_ms.unwrap_or(record.accepted_ms));
+        self.insert_job(record.job, version, times, record.untouched, pending, unlocated, none);
         if let Some(job) = self.jobs.get_mut(&id) {
             job.waiting_since = now;
         }
@@ -400,18 +420,22 @@
         &mut self,
         spec: JobSpec,
         version: Revision,
-        accepted_ms: u64,
+        (accepted_ms, ready_ms): (u64, u64),
         untouched: u32,
         pending: RangeSet,
         unlocated: RangeSet,
         done: RangeSet,
     ) {
         let id = spec.id.clone();
+        let wish = self.pipelines.wish(&spec, accepted_ms);
+        self.pipelines.is_live(&id, wish);
         let job = Job {
-            order: (accepted_ms, id.clone()),
+            order: (ready_ms, id.clone()),
             spec,
             version,
             accepted_ms,
+            ready_ms,
+            urged: self.pipelines.urged(&id),
             pending,
             runs: TaskRuns::inherited(&unlocated),
             unlocated,
--- a/src/coordination/standby.rs
+++ b/src/coordination/standby.rs
@@ -2,6 +2,7 @@
 //! `crowstall_standby` decides. Why nothing breaks while two nodes believe to hold a shard is in
 //! `docs/standby.md`.
 
+use super::pipelines::WaitingWrite;
 use super::*;
 use crate::bookkeeping::records::{self, LastRecord, PulseRecord, to_value};
 use crate::protocol::cloud::CloudAnswer;
@@ -122,6 +123,7 @@
         match self {
             StateWork::Accept { shard, claim, .. }
             | StateWork::Job { shard, claim, .. }
+            | StateWork::Waiting { shard, claim, .. }
             | StateWork::Adopt { shard, claim, .. }
             | StateWork::Forget { shard, claim, .. }
             | StateWork::Move { shard, claim, .. }
@@ -167,9 +169,11 @@
         let held = match (&work, &answer) {
             (StateWork::ReadNoted { shard, claim, .. }, Ok(StateAnswer::Found(_)))
             | (StateWork::Job { shard, claim, work: ledger::JobWrite::Reread, .. }, Ok(StateAnswer::Found(_)))
+            | (StateWork::Waiting { shard, claim, work: WaitingWrite::Reread, .. }, Ok(StateAnswer::Found(_)))
             | (StateWork::FetchMachine { shard, claim }, Ok(StateAnswer::Found(_))) => Some((*shard, *claim)),
             (StateWork::Lookup(_), Ok(StateAnswer::Found(entry))) if entry.key.starts_with(records::LIVE) => {
-                let shard = entry.value.get("shard").and_then(serde_json::Value::as_u64);
+                let shard = entry.value.get("home").or_else(|| entry.value.get("shard"));
+                let shard = shard.and_then(serde_json::Value::as_u64);
                 let shard = shard.and_then(|shard| self.shards.get(&ShardId(shard as u32)));
                 shard.map(|shard| (shard.id, shard.claim))
             }
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -1,8 +1,10 @@
 //! Submitting, asking and cancelling.
 
+use super::pipelines::new_record;
 use super::shard::Job;
 use super::*;
 use crate::bookkeeping::records::{self, EndRecord, LiveRecord, to_value};
+use crate::protocol::peers::SPEAKS_WAITING;
 use crate::protocol::state::Change;
 use crate::protocol::users::{BadJob, JobState, JobView};
 
@@ -15,8 +17,10 @@
     at_end: bool,
 }
 
-enum Then {
+pub(super) enum Then {
     Poll,
+    /// Told by the records alone, whoever holds the job.
+    Walk,
     Cancel,
     Forecast,
     /// A submission that can't be taken, unless it is the retry of an accepted one.
@@ -29,15 +33,15 @@
 const FIRST_STARTS: u32 = super::shard::LOOKAHEAD;
 
 pub(super) fn view(id: &JobId, state: JobState, done: u32, running: u32) -> Reply {
-    Reply::json(200, &JobView { id: id.clone(), state, done, running })
+    Reply::json(200, &JobView::new(id, state, done, running))
 }
 
-fn final_view(id: &JobId, state: Final, done: u32) -> Reply {
-    let state = match state {
+pub(super) fn final_view(id: &JobId, end: &EndRecord) -> Reply {
+    let state = match end.state {
         Final::Done => JobState::Done,
         Final::Cancelled => JobState::Cancelled,
     };
-    view(id, state, done, 0)
+    Reply::json(200, &JobView { withdrawn_with: end.cause.clone(), ..JobView::new(id, state, end.done, 0) })
 }
 
 /// What a user may be told of the state of a live job, if anything may be told.
@@ -61,11 +65,11 @@
 
 impl Controller {
     /// The shard among those held here that has the job in memory.
-    fn shard_with(&self, job: &JobId) -> Option<ShardId> {
-        self.shards.values().find(|shard| shard.is_active() && shard.jobs.contains_key(job)).map(|shard| shard.id)
+    pub(super) fn shard_with(&self, job: &JobId) -> Option<ShardId> {
+        self.shards.values().find(|shard| shard.is_active() && shard.has(job)).map(|shard| shard.id)
     }
 
-    fn look_up(&mut self, asker: Asker, job: JobId, then: Then) {
+    pub(super) fn look_up(&mut self, asker: Asker, job: JobId, then: Then) {
         // Reads for users must not eat up what leases and records need.
         if !self.requests.take(self.now, 0.0) {
             return self.reply(asker, Reply::busy("too many questions"));
@@ -82,14 +86,14 @@
                 let Ok(end) = serde_json::from_value::<EndRecord>(entry.value) else {
                     return self.reply(asker, Reply::busy("its record can't be read"));
                 };
-                self.ended.insert(job.clone(), end.state, end.done);
-                self.reply(asker, final_view(&job, end.state, end.done));
+                self.reply(asker, final_view(&job, &end));
+                self.ended.insert(job, end);
             }
             Ok(StateAnswer::Found(entry)) => {
                 let Ok(record) = serde_json::from_value::<LiveRecord>(entry.value) else {
                     return self.reply(asker, Reply::busy("its record can't be read"));
                 };
-                self.job_homes.insert(job.clone(), record.shard);
+                self.job_homes.insert(job.clone(), record.decided_in());
                 self.found_live(asker, record, entry.version, then);
             }
             Ok(StateAnswer::Missing) if !at_end => {
@@ -102,7 +106,7 @@
                 let reply = match then {
                     Then::Refuse(reply) => reply,
                     Then::Known => Reply::busy("try again"),
-                    Then::Poll | Then::Cancel | Then::Forecast => Reply::error(404, "no such job"),
+                    Then::Poll | Then::Walk | Then::Cancel | Then::Forecast => Reply::error(404, "no such job"),
                 };
                 self.reply(asker, reply);
             }
@@ -112,18 +116,22 @@
 
     /// The record of a job that was not in memory says that it is live.
     fn found_live(&mut self, asker: Asker, record: LiveRecord, version: Revision, then: Then) {
-        let (id, shard_id) = (record.job.id.clone(), record.shard);
-        if let Some((state, done)) = self.ended.jobs.get(&id).copied() {
+        let (id, shard_id) = (record.job.id.clone(), record.decided_in());
+        if let Some(end) = self.ended.jobs.get(&id) {
             // It has ended since the record was read.
-            return self.reply(asker, final_view(&id, state, done));
+            let reply = final_view(&id, end);
+            return self.reply(asker, reply);
+        }
+        if matches!(then, Then::Walk) {
+            return self.walk(asker, &record);
         }
         let (entitled, now) = (self.decides(shard_id), self.now);
         if let Some(shard) = self.shards.get_mut(&shard_id).filter(|shard| shard.is_active() && entitled) {
-            if !shard.jobs.contains_key(&id) {
+            if !shard.has(&id) {
                 // Written under this claim, or it would have been loaded: an acceptance whose
                 // answer was lost. So nothing of it has been started.
                 log::info!("job {id} found in the records");
-                shard.accept_job(record, version, now);
+                shard.take_in(record, version, now);
             }
             return match then {
                 Then::Cancel => self.cancel_here(asker, shard_id, id),
@@ -134,6 +142,7 @@
         match then {
             Then::Cancel => self.pass_on(asker, shard_id, PeerAsk::Cancel(id)),
             Then::Forecast => self.pass_on(asker, shard_id, PeerAsk::Forecast(id)),
+            _ if record.is_waiting() => self.walk(asker, &record),
             _ => {
                 let done = crate::bookkeeping::ranges::RangeSet::parse(&record.done, record.job.tasks);
                 let done = done.map_or(0, |done| done.len());
@@ -158,7 +167,9 @@
                 self.next_call += 1;
                 let number = self.next_call;
                 let (what, timeout) = match &ask {
-                    PeerAsk::Submit(spec) => (Passed::Submission(spec.clone()), SUBMIT_TIMEOUT),
+                    PeerAsk::Submit(spec) | PeerAsk::SubmitWaiting(spec) => {
+                        (Passed::Submission(spec.clone()), SUBMIT_TIMEOUT)
+                    }
                     PeerAsk::Poll(job) | PeerAsk::Cancel(job) | PeerAsk::Forecast(job) => {
                         (Passed::Question(job.clone()), FORWARD_TIMEOUT)
                     }
@@ -168,7 +179,7 @@
                 self.out.push(Action::Send { to, message: PeerMessage::Ask { number, shard, ask } });
             }
             None => match ask {
-                PeerAsk::Submit(spec) => self.submit_from_afar(asker, *spec),
+                PeerAsk::Submit(spec) | PeerAsk::SubmitWaiting(spec) => self.submit_from_afar(asker, *spec),
                 PeerAsk::Report(_) => self.reply(asker, worker_protocol::elsewhere(None)),
                 _ => self.reply(asker, Reply::busy("its shard is changing hands")),
             },
@@ -196,8 +207,8 @@
         ask: fn(JobId) -> PeerAsk,
         then: Then,
     ) {
-        if let Some((state, done)) = self.ended.jobs.get(&job).copied() {
-            return self.reply(asker, final_view(&job, state, done));
+        if let Some(reply) = self.ended_view(&job) {
+            return self.reply(asker, reply);
         }
         if let Some(shard) = self.shard_with(&job) {
             return here(self, asker, shard, job);
@@ -211,14 +222,16 @@
     }
 
     pub(super) fn poll_here(&mut self, asker: Asker, shard: ShardId, job: JobId) {
-        if let Some((state, done)) = self.ended.jobs.get(&job).copied() {
-            return self.reply(asker, final_view(&job, state, done));
+        if let Some(reply) = self.ended_view(&job) {
+            return self.reply(asker, reply);
         }
         if !self.tells(shard) {
             return self.reply(asker, Reply::busy("no fresh state"));
         }
-        match self.shards.get(&shard).and_then(|shard| shard.jobs.get(&job)) {
+        let held = self.shards.get(&shard);
+        match held.and_then(|shard| shard.jobs.get(&job)) {
             Some(job) => self.reply(asker, live_view(job)),
+            None if held.is_some_and(|shard| shard.has(&job)) => self.waiting_view(asker, shard, job),
             None => self.look_up(asker, job, Then::Poll),
         }
     }
@@ -235,7 +248,8 @@
         if self.forecasts.is_none() {
             return self.reply(asker, Reply::error(404, "forecasts are off here"));
         }
-        if self.ended.jobs.contains_key(&job) {
+        let waits = self.shards.get(&shard).is_some_and(|shard| shard.pipelines.contains(&job));
+        if self.ended.jobs.contains_key(&job) || waits {
             return self.poll_here(asker, shard, job);
         }
         if !self.tells(shard) {
@@ -248,8 +262,8 @@
     }
 
     pub(super) fn cancel(&mut self, asker: Asker, job: JobId) {
-        if let Some((state, done)) = self.ended.jobs.get(&job).copied() {
-            return self.reply(asker, final_view(&job, state, done));
+        if let Some(reply) = self.ended_view(&job) {
+            return self.reply(asker, reply);
         }
         if let Some(shard) = self.shard_with(&job) {
             return self.cancel_here(asker, shard, job);
@@ -261,8 +275,8 @@
     }
 
     pub(super) fn cancel_here(&mut self, asker: Asker, shard_id: ShardId, id: JobId) {
-        if let Some((state, done)) = self.ended.jobs.get(&id).copied() {
-            return self.reply(asker, final_view(&id, state, done));
+        if let Some(reply) = self.ended_view(&id) {
+            return self.reply(asker, reply);
         }
         if !self.decides(shard_id) {
             return self.reply(asker, Reply::busy("no right to"));
@@ -272,6 +286,9 @@
             return self.reply(asker, Reply::busy("not held here"));
         };
         let waits = shard.overlap.as_ref().is_some_and(|overlap| !overlap.may_record_cancelled(now));
+        if shard.pipelines.contains(&id) {
+            return self.cancel_waiting(asker, shard_id, id, waits);
+        }
         let Some(job) = shard.jobs.get_mut(&id) else { return self.look_up(asker, id, Then::Cancel) };
         if job.ending.is_none() {
             job.ending = Some(Final::Cancelled);
@@ -293,9 +310,9 @@
     }
 
     /// Refuses a submission for good, unless its job was accepted before.
-    fn known_or(&mut self, asker: Asker, id: JobId, refusal: Reply) {
-        if let Some((state, done)) = self.ended.jobs.get(&id).copied() {
-            return self.reply(asker, final_view(&id, state, done));
+    pub(super) fn known_or(&mut self, asker: Asker, id: JobId, refusal: Reply) {
+        if let Some(reply) = self.ended_view(&id) {
+            return self.reply(asker, reply);
         }
         match self.shard_with(&id) {
             Some(shard) => self.poll_here(asker, shard, id),
@@ -305,8 +322,8 @@
 
     pub(super) fn submit(&mut self, asker: Asker, spec: JobSpec) {
         let id = spec.id.clone();
-        if let Some((state, done)) = self.ended.jobs.get(&id).copied() {
-            return self.reply(asker, final_view(&id, state, done));
+        if let Some(reply) = self.ended_view(&id) {
+            return self.reply(asker, reply);
         }
         if let Some(shard) = self.shard_with(&id) {
             return self.poll_here(asker, shard, id);
@@ -324,7 +341,15 @@
             Some(shard) if self.shards.contains_key(&shard) => self.submit_from_afar(asker, spec),
             Some(shard) => {
                 self.job_homes.insert(id, shard);
-                self.pass_on(asker, shard, PeerAsk::Submit(Box::new(spec)))
+                if spec.prerequisites.is_empty() {
+                    return self.pass_on(asker, shard, PeerAsk::Submit(Box::new(spec)));
+                }
+                // An older version would take it for a job that waits for nobody.
+                let holder = self.holder_of(shard).and_then(|holder| self.members.peer(holder));
+                match holder.is_some_and(|peer| peer.word.speaks >= SPEAKS_WAITING) {
+                    true => self.pass_on(asker, shard, PeerAsk::SubmitWaiting(Box::new(spec))),
+                    false => self.submit_from_afar(asker, spec),
+                }
             }
             None => self.reply(asker, Reply::busy("no shard to put it in")),
         }
@@ -359,21 +384,37 @@
 
     pub(super) fn submit_here(&mut self, asker: Asker, shard_id: ShardId, spec: JobSpec) {
         let id = spec.id.clone();
-        if let Some((state, done)) = self.ended.jobs.get(&id).copied() {
-            return self.reply(asker, final_view(&id, state, done));
+        if let Some(reply) = self.ended_view(&id) {
+            return self.reply(asker, reply);
         }
-        let (entitled, tells) = (self.decides(shard_id), self.tells(shard_id));
+        if self.shards.get(&shard_id).is_some_and(|shard| shard.is_active() && shard.has(&id)) {
+            return self.poll_here(asker, shard_id, id);
+        }
+        match spec.prerequisites.is_empty() {
+            true => self.accept_here(asker, shard_id, spec),
+            false => self.check_needs(asker, shard_id, spec, false),
+        }
+    }
+
+    /// Accepts a job that is new here and all of whose needs were accepted.
+    pub(super) fn accept_here(&mut self, asker: Asker, shard_id: ShardId, spec: JobSpec) {
+        let entitled = self.decides(shard_id);
         let Some(shard) = self.shards.get(&shard_id).filter(|shard| shard.is_active() && entitled) else {
             return self.reply(asker, Reply::busy("the shard is not ready"));
         };
-        if let Some(job) = shard.jobs.get(&id) {
-            let reply = if tells { live_view(job) } else { Reply::busy("no fresh state") };
-            return self.reply(asker, reply);
+        if shard.has(&spec.id) {
+            // It came twice, and the other was quicker.
+            return self.poll_here(asker, shard_id, spec.id);
         }
         let claim = shard.claim;
         self.write_accept(asker, shard_id, claim, spec, false);
     }
 
+    /// What is told of a job that is known here to have ended.
+    fn ended_view(&self, id: &JobId) -> Option<Reply> {
+        self.ended.jobs.get(id).map(|end| final_view(id, end))
+    }
+
     /// Accepts a job for a shard whose holder can't be asked: it is between two holders, or the
     /// network between the nodes is down. The record is bound to the shard's key just as it stands,
     /// held or not; whoever holds the shard next loads it, and who holds it now finds the note.
@@ -381,6 +422,13 @@
         let Some(shard) = self.shard_for(&spec) else {
             return self.reply(asker, Reply::busy("no shard to put it in"));
         };
+        match spec.prerequisites.is_empty() {
+            true => self.accept_from_afar(asker, shard, spec),
+            false => self.check_needs(asker, shard, spec, true),
+        }
+    }
+
+    pub(super) fn accept_from_afar(&mut self, asker: Asker, shard: ShardId, spec: JobSpec) {
         let Some(view) = self.members.holding(shard).filter(|_| self.hold.is_some()) else {
             return self.reply(asker, Reply::busy("no fresh state"));
         };
@@ -394,16 +442,10 @@
             askers.push(asker);
             return;
         }
-        let record = LiveRecord {
-            shard,
-            accepted_ms: self.day_ms,
-            done: String::new(),
-            untouched: spec.tasks.min(FIRST_STARTS),
-            failing: false,
-            job: spec,
-        };
+        let untouched = spec.tasks.min(FIRST_STARTS);
+        let record = new_record(shard, spec, self.day_ms, untouched);
         let value = to_value(&record);
-        if value.to_string().len() > self.cfg.value_bytes {
+        if value.to_string().len() + records::LATER_BYTES > self.cfg.value_bytes {
             return self.reply(asker, Reply::error(400, "larger than can be recorded"));
         }
         let key = records::live_key(&id);
@@ -428,7 +470,7 @@
         }
         let claim = shard.claim;
         self.notes.insert(note.to_string());
-        if shard.jobs.contains_key(&job) || self.ended.jobs.contains_key(&job) {
+        if shard.has(&job) || self.ended.jobs.contains_key(&job) {
             return self.remove_note(shard_id, claim, note.to_string(), version);
         }
         let work = StateWork::ReadNoted { shard: shard_id, claim, note: note.to_string(), version };
@@ -452,9 +494,9 @@
             Ok(StateAnswer::Found(entry)) => match serde_json::from_value::<LiveRecord>(entry.value) {
                 // It was not there when this claim's records were loaded, so it was accepted under
                 // this claim and nothing of it has been started.
-                Ok(record) if record.shard == shard_id && !shard.jobs.contains_key(&record.job.id) => {
+                Ok(record) if record.decided_in() == shard_id && !shard.has(&record.job.id) => {
                     log::info!("job {} was accepted by another node", record.job.id);
-                    shard.accept_job(record, entry.version, now);
+                    shard.take_in(record, entry.version, now);
                 }
                 _ => {}
             },
@@ -486,11 +528,21 @@
         let askers = self.accepting.remove(&id).unwrap_or_default();
         match answer {
             Ok(StateAnswer::Committed(version)) => {
-                let now = self.now;
+                let (now, waits) = (self.now, record.is_waiting());
                 if let Some(shard) = self.shard_under(shard_id, claim)
-                    && !shard.jobs.contains_key(&id)
+                    && !shard.has(&id)
                 {
-                    shard.accept_job(record, version, now);
+                    shard.take_in(record, version, now);
+                }
+                if waits {
+                    // A job that it needs may have been cancelled: then so is this one, from the start.
+                    for asker in askers {
+                        match self.shards.get(&shard_id).is_some_and(|shard| shard.has(&id)) {
+                            true => self.poll_here(asker, shard_id, id.clone()),
+                            false => self.look_up(asker, id.clone(), Then::Walk),
+                        }
+                    }
+                    return;
                 }
                 // Durable, whoever holds the shard by now.
                 let reply = Reply { status: 201, ..view(&id, JobState::Queued, 0, 0) };
--- a/src/protocol/peers.rs
+++ b/src/protocol/peers.rs
@@ -39,6 +39,9 @@
         /// How long ago each of the others was heard.
         #[serde(default)]
         hears: Vec<(NodeLabel, Span)>,
+        /// Which messages it understands: 0 from one that does not say.
+        #[serde(default)]
+        speaks: u32,
     },
     /// A request of a user or a worker that another node's shard must decide.
     Ask {
@@ -83,8 +86,16 @@
     Forecast(JobId),
     /// A report of a worker that does not reach the shard's holder itself.
     Report(Box<Report>),
+    /// A job that waits for others. A message of its own, so that a node that knows nothing of waiting can't
+    /// take it for one that does not: it finds no message in the frame.
+    SubmitWaiting(Box<JobSpec>),
 }
 
+/// Which messages this version understands, as its beats say.
+pub const SPEAKS: u32 = 1;
+/// From which on `PeerAsk::SubmitWaiting` is understood.
+pub const SPEAKS_WAITING: u32 = 1;
+
 pub fn encode(envelope: &Envelope) -> Vec<u8> {
     let mut bytes = Vec::new();
     // Writing to a vector does not fail, and neither do these types.
--- a/src/protocol/users.rs
+++ b/src/protocol/users.rs
@@ -3,6 +3,7 @@
 use super::Reply;
 use crate::model::{Amount, JobId, JobKind, JobSpec, Name, Priority, Resources};
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
 
 /// What a request of a user or a worker asks for.
 #[derive(Clone, Debug, PartialEq)]
@@ -61,6 +62,8 @@
     cache_s: f64,
     stash_s: f64,
     dusk_s: Option<f64>,
+    #[serde(rename = "awaits")]
+    prerequisites: Option<Vec<String>>,
 }
 
 #[derive(Deserialize)]
@@ -120,6 +123,12 @@
     if places.clone().any(|text| text.is_empty() || text.len() > 200) || places.count() > 64 {
         return Err(bad("breeds, roost: a name is empty or too long, or there are too many".into()));
     }
+    let needed = job
+        .prerequisites
+        .iter()
+        .flatten()
+        .map(|need| parse_job_id(need).ok_or_else(|| bad("awaits: not a job's id".into())));
+    let needed = needed.collect::<Result<BTreeSet<JobId>, BadJob>>()?;
     Ok(JobSpec {
         id: id.clone(),
         class: Name::new(&job.brood),
@@ -147,6 +156,7 @@
         checkpoint_s: job.cache_s,
         save_s: job.stash_s,
         deadline_s: job.dusk_s,
+        prerequisites: needed.into_iter().collect(),
     })
 }
 
@@ -210,6 +220,32 @@
     pub done: u32,
     #[serde(default)]
     pub running: u32,
+    /// Jobs that it waits for, the first few of them, and how many there are.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub waits_for: Vec<JobId>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub waits_for_count: Option<usize>,
+    /// The cancelled job that took this one along.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub withdrawn_with: Option<JobId>,
+}
+
+/// How many of the jobs that another waits for are named in an answer.
+const MOST_NAMED: usize = 16;
+
+impl JobView {
+    pub fn new(id: &JobId, state: JobState, done: u32, running: u32) -> JobView {
+        let id = id.clone();
+        JobView { id, state, done, running, waits_for: Vec::new(), waits_for_count: None, withdrawn_with: None }
+    }
+
+    pub fn waiting<'a>(id: &JobId, needs: impl Iterator<Item = &'a JobId>) -> JobView {
+        let mut needs: Vec<JobId> = needs.cloned().collect();
+        let count = needs.len();
+        needs.sort();
+        needs.truncate(MOST_NAMED);
+        JobView { waits_for: needs, waits_for_count: Some(count), ..JobView::new(id, JobState::Queued, 0, 0) }
+    }
 }
 
 /// When a job is expected to be done, and what that rests on. All times are in seconds from the answer.
--- a/tests/world/state.rs
+++ b/tests/world/state.rs
@@ -37,6 +37,10 @@
     pub told: u64,
     pub outage_until: u64,
     pub refused_until: [u64; 3],
+    /// The limits that hold, the present ones if none: value bytes, changes a transaction, changes a second.
+    pub limits: Option<[usize; 3]>,
+    /// What was refused for its size: the same again and again is a fault of its own.
+    pub too_large: Vec<String>,
     writes: (u64, usize),
     pub most_writes: usize,
     /// How many requests were refused for being over the limit.
@@ -164,7 +168,8 @@
         }
         self.writes.1 += call.writes();
         self.most_writes = self.most_writes.max(self.writes.1);
-        if self.writes.1 > 60 {
+        let [most_bytes, most_changes, most_rate] = self.limits.unwrap_or([4096, 8, 60]);
+        if self.writes.1 > most_rate {
             self.over_limit += 1;
             return Err(CallError::Refused { over_limit: true });
         }
@@ -206,7 +211,14 @@
                 None => StateAnswer::NoHold,
             },
             StateCall::Commit { conditions, changes } => {
-                assert!(changes.len() <= 8 && conditions.len() <= 32, "a transaction is too large");
+                let large = changes.iter().find_map(|change| match change {
+                    Change::Put { key, value, .. } if value.to_string().len() > most_bytes => Some(key.clone()),
+                    _ => None,
+                });
+                if large.is_some() || changes.len() > most_changes || conditions.len() > 4 * most_changes {
+                    self.too_large.push(large.unwrap_or_else(|| format!("{conditions:?}")));
+                    return Err(CallError::Odd(400));
+                }
                 let dead = changes.iter().any(|change| match change {
                     Change::Put { hold: Some(hold), .. } => !self.holds.contains_key(&hold.0),
                     _ => false,
@@ -227,7 +239,6 @@
                 for change in changes {
                     match change {
                         Change::Put { key, value, hold } => {
-                            assert!(value.to_string().len() <= 4096, "a value is too large");
                             let (key, mut value, hold) = (key.clone(), value.clone(), *hold);
                             let terms = value.get_mut("terms");
                             if let Some(terms) = terms.filter(|_| mutation == Mutation::ShortTerms) {
--- a/tests/world/users.rs
+++ b/tests/world/users.rs
@@ -13,6 +13,10 @@
     pub cancelled_at: Option<u64>,
     pub done_at: Option<u64>,
     pub asked_to_cancel: bool,
+    /// Jobs that have to be accepted before it is submitted, and done before it starts.
+    pub after: Vec<usize>,
+    /// It is submitted only once those are over.
+    pub late: bool,
     given_up: bool,
     try_no: u64,
     asking: Asking,
@@ -51,6 +55,7 @@
         checkpoint_s: 0.0,
         save_s: 0.0,
         deadline_s: None,
+        prerequisites: Vec::new(),
     }
 }
 
@@ -88,6 +93,8 @@
             cancelled_at: None,
             done_at: None,
             asked_to_cancel: false,
+            after: Vec::new(),
+            late: false,
             given_up: false,
             try_no: 0,
             asking: Asking::Nothing,
@@ -97,6 +104,48 @@
         self.at(submit_at, Happening::UserStep { user });
     }
 
+    /// A job that needs others, given by their users' numbers; it is submitted once those are accepted. Gives back
+    /// its own number.
+    pub fn add_stage(&mut self, mut spec: JobSpec, after: &[usize], run: u64, at: u64, cancel: Option<u64>) -> usize {
+        spec.prerequisites = after.iter().map(|need| self.users[*need].spec.id.clone()).collect();
+        let user = self.users.len();
+        self.add_user(spec, run, at, cancel, false);
+        self.users[user].after = after.to_vec();
+        user
+    }
+
+    /// A user whose job goes before that one, and who was told that it is cancelled, with the time of that.
+    pub fn cancelled_before(&self, user: usize) -> Option<(usize, u64)> {
+        let (mut open, mut seen) = (vec![user], BTreeSet::from([user]));
+        let mut first: Option<(usize, u64)> = None;
+        while let Some(at) = open.pop() {
+            for need in self.users[at].after.iter().filter(|need| seen.insert(**need)) {
+                if let Some(told) = self.users[*need].cancelled_at
+                    && self.users[*need].asked_to_cancel
+                    && first.is_none_or(|(_, other)| told < other)
+                {
+                    first = Some((*need, told));
+                }
+                open.push(*need);
+            }
+        }
+        first
+    }
+
+    /// A job before that one whose user has asked to cancel it, told or not.
+    fn withdrawn_before(&self, user: usize) -> Option<usize> {
+        let (mut open, mut seen) = (vec![user], BTreeSet::from([user]));
+        while let Some(at) = open.pop() {
+            for need in self.users[at].after.iter().filter(|need| seen.insert(**need)) {
+                if self.users[*need].asked_to_cancel {
+                    return Some(*need);
+                }
+                open.push(*need);
+            }
+        }
+        None
+    }
+
     fn healthy_node(&mut self) -> Option<usize> {
         let up: Vec<usize> = (0..3).filter(|node| self.is_up(*node)).collect();
         (!up.is_empty()).then(|| up[self.rng.random_range(0..up.len())])
@@ -106,10 +155,26 @@
         let now = self.now;
         let roll: u32 = self.rng.random_range(0..100);
         let often = if now < self.storm_until { 8 } else { 1 };
-        let user = &mut self.users[at];
+        let user = &self.users[at];
         if user.given_up {
             return;
         }
+        let (after, late) = (user.after.clone(), user.late);
+        if user.accepted_at.is_none() && !after.is_empty() {
+            let is_over = |need: &User| need.done_at.is_some() || need.cancelled_at.is_some();
+            let settled = |need: &usize| self.users[*need].accepted_at.is_some();
+            if after.iter().any(|need| self.users[*need].given_up) {
+                self.users[at].given_up = true;
+                return;
+            }
+            if !after.iter().all(settled) || late && !after.iter().all(|need| is_over(&self.users[*need])) {
+                return self.at(now + 200 * MS, Happening::UserStep { user: at });
+            }
+            if self.users[at].try_no == 0 {
+                self.users[at].submit_at = now;
+            }
+        }
+        let user = &mut self.users[at];
         user.try_no += 1;
         let over = user.cancelled_at.is_some() || user.done_at.is_some();
         let id = user.spec.id.clone();
@@ -181,12 +246,19 @@
                 }
             }
             "withdrawn" => {
-                if !user.asked_to_cancel {
+                if !user.asked_to_cancel && self.withdrawn_before(at).is_none() {
                     return self.fail("went_back", format!("{id} is called cancelled"));
                 }
-                user.cancelled_at.get_or_insert(now);
+                self.users[at].cancelled_at.get_or_insert(now);
+            }
+            _ => {
+                if let Some((need, told)) = self.cancelled_before(at)
+                    && now > told.max(self.users[at].accepted_at.unwrap_or(now)) + CANCEL
+                {
+                    let need = &self.users[need].spec.id;
+                    self.fail("orphaned", format!("{id} is called {state} long after {need} was cancelled"));
+                }
             }
-            _ => {}
         }
     }
 }
--- a/tests/world/workers.rs
+++ b/tests/world/workers.rs
@@ -366,10 +366,19 @@
             return self.fail("invented", format!("{id} was started"));
         };
         let spec = user.spec.clone();
+        let unfinished = user
+            .after
+            .iter()
+            .map(|need| &self.users[*need].spec)
+            .find(|need| (0..need.tasks).any(|task| !self.completed.contains(&(need.id.to_string(), task))));
+        let unfinished = unfinished.map(|need| need.id.clone());
         let late = user.cancelled_at.is_some_and(|at| self.now > at + CANCEL);
         if late {
             self.fail("ran_cancelled", format!("{id} starts on {number}"));
         }
+        if let Some(need) = unfinished {
+            self.fail("too_early", format!("{id} starts before {need} is done"));
+        }
         let Some(here) = self.workers.get(&number) else { return };
         let (kind, zone, spot) = (here.kind.clone(), here.zone.clone(), here.spot);
         let mut twice = None;
