--- a/src/coordination/pipelines.rs
+++ b/src/coordination/pipelines.rs
@@ -427,12 +427,12 @@
         job.writing = false;
         match (work, answer) {
             (_, Ok(StateAnswer::Conflict(failed))) if failed.contains(&records::shard_key(shard_id)) => {
-                return self.drop_shard(shard_id, "the claim is another's");
+                self.drop_shard(shard_id, "the claim is another's")
             }
             (WaitingWrite::Release(record), Ok(StateAnswer::Committed(version))) => {
-                return self.released_job(shard_id, *record, version);
+                self.released_job(shard_id, *record, version)
             }
-            (WaitingWrite::End(end), Ok(StateAnswer::Committed(_))) => return self.waiting_ended(shard_id, &id, end),
+            (WaitingWrite::End(end), Ok(StateAnswer::Committed(_))) => self.waiting_ended(shard_id, &id, end),
             (WaitingWrite::Reread, Ok(StateAnswer::Found(entry))) => {
                 match serde_json::from_value::<LiveRecord>(entry.value) {
                     Ok(record) if record.is_waiting() => {
@@ -447,13 +447,12 @@
                         log::error!("record of job {id} can't be read: {error}");
                     }
                 }
-                return;
             }
             (WaitingWrite::Reread, Ok(StateAnswer::Missing)) => {
                 job.writing = true;
                 let request = StateCall::Get(records::end_key(&id));
                 let work = WaitingWrite::RereadEnd;
-                return self.call_state(request, StateWork::Waiting { shard: shard_id, claim, job: id, work });
+                self.call_state(request, StateWork::Waiting { shard: shard_id, claim, job: id, work })
             }
             (WaitingWrite::RereadEnd, Ok(StateAnswer::Found(entry))) => {
                 if let Ok(end) = serde_json::from_value::<EndRecord>(entry.value) {
@@ -467,7 +466,6 @@
                 let askers = std::mem::take(&mut job.cancel_askers);
                 self.doubt_cancel(&id, false);
                 self.put_off(askers);
-                return;
             }
             _ => {
                 (job.unsure, job.failed) = (true, Some(now));
