--- a/benches/following.rs
+++ b/benches/following.rs
@@ -49,8 +49,16 @@
         prerequisites: Vec::new(),
     };
     let done = "0-40,42,45-90".to_string();
-    let record =
-        LiveRecord { shard: ShardId(0), job, accepted_ms: 1_700_000_000_000, done, untouched: 250, failing: false };
+    let record = LiveRecord {
+        shard: ShardId(0),
+        home: None,
+        job,
+        accepted_ms: 1_700_000_000_000,
+        ready_ms: None,
+        done,
+        untouched: 250,
+        failing: false,
+    };
     (format!("live/wk-{number:06}"), to_value(&record))
 }
 
--- a/src/coordination/pipelines.rs
+++ b/src/coordination/pipelines.rs
@@ -441,7 +441,7 @@
                         self.doubt_cancel(&id, false);
                     }
                     // The release whose answer was lost: nothing of it has been started.
-                    Ok(record) => return self.released_job(shard_id, record, entry.version),
+                    Ok(record) => self.released_job(shard_id, record, entry.version),
                     Err(error) => {
                         job.failed = Some(now);
                         log::error!("record of job {id} can't be read: {error}");
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod cloud;
 pub mod state;
+pub mod troubles;
 pub mod users;
 pub mod workers;
 
