--- a/src/coordination/binding.rs
+++ b/src/coordination/binding.rs
@@ -205,7 +205,8 @@
     pub fn preempt(&mut self, market: &Market) -> Vec<(MachineId, Vec<AttemptNo>)> {
         let now = market.now;
         let mut picked: Vec<(MachineId, Vec<AttemptNo>)> = Vec::new();
-        // Only what is more urgent than something that runs can make anything give way.
+        // Only what is more urgent than something that runs can make anything give way. What is urgent for others'
+        // sake goes first in the line, but stops nothing: whole arrays would stop whole arrays.
         let running = self.jobs.values().filter(|job| !job.running.is_empty()).map(|job| job.priority());
         let Some(least_urgent) = running.max() else { return picked };
         let queue: Vec<JobId> = self
@@ -213,7 +214,7 @@
             .iter()
             .filter(|id| {
                 let job = self.jobs.get(id).filter(|job| job.next_task(now).is_some());
-                job.is_some_and(|job| job.priority() < least_urgent)
+                job.is_some_and(|job| job.spec.priority < least_urgent)
             })
             .cloned()
             .collect();
@@ -289,7 +290,7 @@
             .filter_map(|(no, attempt)| {
                 let other = self.jobs.get(&attempt.task.job)?;
                 let ran = attempt.running_since.map_or(0.0, |since| now.since(since).as_secs());
-                (other.priority() > job.priority()).then_some((ran, *no, attempt.needs))
+                (other.priority() > job.spec.priority).then_some((ran, *no, attempt.needs))
             })
             .collect();
         lower.sort_by(|a, b| a.0.total_cmp(&b.0));
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -50,6 +50,10 @@
     WrongZones,
     /// Holders' records say that nobody has to wait for them.
     ShortTerms,
+    /// Controllers are not told what jobs need.
+    NeedsUnsaid,
+    /// Holders lose the records of cancelled jobs: what these take along is never found out.
+    CancelsForgotten,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -128,6 +132,9 @@
     pub storm_until: u64,
     pub broken: Vec<String>,
     pub trace: Vec<String>,
+    /// A question that a test waits for, and its answer.
+    listens_for: Option<AskId>,
+    heard: Option<Reply>,
     pub starts: u64,
     pub reports: u64,
     pub completed: BTreeSet<(String, u32)>,
@@ -173,6 +180,9 @@
 write_rps = 30.0
 value_kb = 4.0
 txn_ops = 8
+[facts.state.next]
+value_kb = 2.0
+txn_ops = 4
 [facts.cloud]
 rps = 6.0
 list_lag_s = 5.0
@@ -234,6 +244,8 @@
             storm_until: 0,
             broken: Vec::new(),
             trace: Vec::new(),
+            listens_for: None,
+            heard: None,
             starts: 0,
             reports: 0,
             completed: BTreeSet::new(),
@@ -308,6 +320,24 @@
         })
     }
 
+    /// Asks a node something and waits for its answer for so long.
+    pub fn hear(&mut self, node: usize, ask: Ask, wait: u64) -> Option<Reply> {
+        self.next += 1;
+        let id = AskId(self.next);
+        self.heard = None;
+        self.listens_for = Some(id);
+        if self.is_up(node) {
+            self.deliver(node, Event::Ask { id, ask });
+        }
+        let until = self.now + wait;
+        while self.heard.is_none() && self.now < until {
+            let next = self.now + 10 * MS;
+            self.run_until(next);
+        }
+        self.listens_for = None;
+        self.heard.take()
+    }
+
     /// Asks a node something, whatever it answers and when.
     pub fn question(&mut self, node: usize, ask: Ask) {
         if self.is_up(node) {
@@ -436,6 +466,7 @@
             world.at(at, Happening::Timeout { node, life, call, kind });
         };
         match action {
+            Action::Reply { id, reply } if self.listens_for == Some(id) => self.heard = Some(reply),
             Action::Reply { id, reply } => {
                 let Some(origin) = self.nodes[node].asks.remove(&id.0) else { return };
                 let to = match origin {
--- a/tests/world/state.rs
+++ b/tests/world/state.rs
@@ -238,6 +238,11 @@
                 let version = Revision(self.tally);
                 for change in changes {
                     match change {
+                        // The record of the end of a cancelled job is lost.
+                        Change::Put { key, value, .. }
+                            if mutation == Mutation::CancelsForgotten
+                                && key.starts_with("end/")
+                                && value["state"] == "cancelled" => {}
                         Change::Put { key, value, hold } => {
                             let (key, mut value, hold) = (key.clone(), value.clone(), *hold);
                             let terms = value.get_mut("terms");
--- a/tests/world/users.rs
+++ b/tests/world/users.rs
@@ -17,7 +17,7 @@
     pub after: Vec<usize>,
     /// It is submitted only once those are over.
     pub late: bool,
-    given_up: bool,
+    pub given_up: bool,
     try_no: u64,
     asking: Asking,
     answered: bool,
@@ -183,7 +183,11 @@
                 user.given_up = true;
                 return;
             }
-            (Asking::Submit, Ask::Submit(Ok(user.spec.clone())), SEC)
+            let mut spec = user.spec.clone();
+            if self.mutation == Mutation::NeedsUnsaid {
+                spec.prerequisites.clear();
+            }
+            (Asking::Submit, Ask::Submit(Ok(spec)), SEC)
         } else if roll < 8 {
             // A retry that comes late, also after the job is over.
             (Asking::Submit, Ask::Submit(Ok(user.spec.clone())), 2 * SEC)
