Pace the records of machines that come and go, and use today's rate until something is refused

Cause: hundreds of machines given back at once had the removals of their records sent again every second, 6,668 of 7,527 refused in a minute, and a fleet coming up had 300 of 565 records refused, each sending its machine round the nodes; submissions and ends were refused along with them. Removals now go a few at a time, records of new machines wait up to 3 s for their turn, and what was written by kind of record is logged every minute. Until the state service refuses something, today's rate of changes is used rather than the one to come.

--- a/src/bookkeeping/mod.rs
+++ b/src/bookkeeping/mod.rs
@@ -3,3 +3,4 @@
 pub mod budget;
 pub mod ranges;
 pub mod records;
+pub mod usage;
--- a/src/config.rs
+++ b/src/config.rs
@@ -192,6 +192,8 @@
     pub cancel: Span,
     pub state_rps: f64,
     pub state_writes: f64,
+    /// The same before the limits to come are in force.
+    pub state_writes_now: f64,
     pub value_bytes: usize,
     pub txn_ops: usize,
     pub cloud_rps: f64,
@@ -551,6 +553,7 @@
             cancel,
             state_rps: stricter(facts.state.rps, next.and_then(|next| next.rps)),
             state_writes: stricter(facts.state.write_rps, next.and_then(|next| next.write_rps)),
+            state_writes_now: facts.state.write_rps,
             value_bytes: (value_kb * 1024.0) as usize,
             txn_ops: facts.state.txn_ops.min(next_ops) as usize,
             cloud_rps: facts.cloud.rps,
--- a/src/coordination/controller.rs
+++ b/src/coordination/controller.rs
@@ -4,6 +4,7 @@
 use super::standby::Standby;
 use super::*;
 use crate::bookkeeping::records::{EndRecord, LastRecord};
+use crate::bookkeeping::usage::Usage;
 use crate::protocol::peers::Offer;
 use crowstall_standby::{Members, Terms, Word};
 
@@ -146,6 +147,8 @@
 /// A call to the state service that is under way.
 pub(super) struct UnderWay {
     pub(super) sent: Time,
+    /// The kinds of records that it changes.
+    pub(super) kinds: Vec<String>,
     pub(super) work: StateWork,
 }
 
@@ -222,6 +225,14 @@
 
     pub(super) requests: Budget,
     pub(super) writes: Budget,
+    /// What the state service allows: today's limit until it refuses something, then the stricter one to come.
+    changes_a_second: f64,
+    /// When the record of a machine that is gone was last removed.
+    pub(super) last_removal: Time,
+    /// Reports of machines whose records wait for their turn to be written.
+    pub(super) to_adopt: VecDeque<workers::ToAdopt>,
+    pub(super) usage: Usage,
+    usage_told: Time,
     pub(super) cloud: cloud::Cloud,
     pub(super) forecasts: Option<forecasts::Forecasts>,
 }
@@ -246,6 +257,8 @@
     }
 }
 
+/// How often the log tells what was written.
+const USAGE_TOLD: Span = Span::millis(60_000);
 /// How many entries the tables of where things are may have before they are started anew.
 pub(super) const MOST_HOMES: usize = 20_000;
 /// How much of what the state service and the cloud allow is shared out evenly among the nodes:
@@ -298,6 +311,11 @@
             reluctance: None,
             requests,
             writes,
+            changes_a_second: cfg.state_writes_now,
+            last_removal: Time::ZERO,
+            to_adopt: VecDeque::new(),
+            usage: Usage::default(),
+            usage_told: clock.steady,
             cloud: cloud::Cloud::new(&cfg),
             forecasts: forecasts::Forecasts::new(&cfg),
             cfg,
@@ -313,7 +331,7 @@
         let held = self.shards.keys().filter(|shard| shard.0 < teams).count();
         let part = |even: f64| even / self.cfg.nodes.len() as f64 + (1.0 - even) * held as f64 / f64::from(teams);
         let requests = self.cfg.state_rps * part(EVEN_REQUESTS);
-        let writes = self.cfg.state_writes * part(EVEN_CHANGES);
+        let writes = self.changes_a_second * part(EVEN_CHANGES);
         self.requests.set_rate(requests, requests);
         self.writes.set_rate(writes, writes);
         self.cloud.set_share(self.cfg.cloud_rps * part(EVEN_CHANGES));
@@ -328,7 +346,10 @@
         match event {
             Event::Ask { id, ask } => self.asked(id, ask),
             Event::State { call, answer } => {
-                if let Some(UnderWay { sent, work }) = self.state_work.remove(&call) {
+                if let Some(UnderWay { sent, kinds, work }) = self.state_work.remove(&call) {
+                    if let Err(CallError::Refused { over_limit: true }) = answer {
+                        self.usage.refused(kinds);
+                    }
                     self.state_answered(sent, work, answer);
                 }
             }
@@ -397,7 +418,11 @@
         let call = self.call_no();
         self.requests.force(self.now, 1.0);
         self.writes.force(self.now, request.writes() as f64);
-        self.state_work.insert(call, UnderWay { sent: self.now, work });
+        let kinds = match &request {
+            StateCall::Commit { changes, .. } => self.usage.sent(changes),
+            _ => Vec::new(),
+        };
+        self.state_work.insert(call, UnderWay { sent: self.now, kinds, work });
         self.out.push(Action::State { call, request });
     }
 
@@ -452,6 +477,11 @@
         if let Err(CallError::Refused { over_limit: true }) = answer {
             self.requests.exhausted(self.now);
             self.writes.exhausted(self.now);
+            if self.changes_a_second > self.cfg.state_writes {
+                log::info!("over the limit: from here on {} changes a second", self.cfg.state_writes);
+                self.changes_a_second = self.cfg.state_writes;
+                self.share_limits();
+            }
         }
         let Some((work, answer)) = self.screen(sent, work, answer) else { return };
         match work {
@@ -577,5 +607,17 @@
         self.ledger_tick();
         self.fleet_tick();
         self.forecast_tick();
+        self.tell_usage();
+    }
+
+    /// Tells every minute what was written.
+    fn tell_usage(&mut self) {
+        if self.now.since(self.usage_told) >= USAGE_TOLD {
+            self.usage_told = self.now;
+            if !self.usage.is_empty() {
+                log::info!("written in a minute: {}", self.usage);
+                self.usage.clear();
+            }
+        }
     }
 }
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -58,7 +58,6 @@
         if self.cloud.catalog.is_some() && now.since(self.cloud.planned_at) >= PLAN_PAUSE {
             self.cloud.planned_at = now;
             for id in ids {
-                self.retry_forgets(id);
                 self.judge_boots(id);
                 self.plan(id);
                 self.give_back(id);
--- a/src/coordination/ledger.rs
+++ b/src/coordination/ledger.rs
@@ -104,6 +104,7 @@
             }
             self.pipelines_tick(shard_id);
             self.write_ends(shard_id, ends);
+            self.remove_leftovers(shard_id);
             dirty.sort();
             for (_, _, id) in dirty {
                 if !self.writes.take(now, 0.5) {
--- a/src/coordination/recovery.rs
+++ b/src/coordination/recovery.rs
@@ -150,7 +150,8 @@
             self.now + overlap.unwrap_or_default() + self.grace() + self.cfg.lease.stretched() + Span::millis(500);
         let size = self.cloud.room(&record.kind).unwrap_or_default();
         let Some(shard) = self.shard_under(id, claim) else { return };
-        if record.shard == id && !shard.machines.contains_key(&machine) {
+        let gone = shard.leftovers.contains_key(&machine);
+        if record.shard == id && !gone && !shard.machines.contains_key(&machine) {
             shard.booting.remove(&machine);
             shard.taking.remove(&machine);
             shard.load_machine(machine, &record, version, proof_by, size);
--- a/src/coordination/returns.rs
+++ b/src/coordination/returns.rs
@@ -10,6 +10,10 @@
 const PROOF_WAIT: Span = Span::millis(3_000);
 /// How long after its lease a silent machine that the cloud no longer lists is forgotten.
 const GONE: Span = Span::millis(10_000);
+/// How many records of machines that are gone are removed at once while hardly anything else is written, and the
+/// pause between two of them otherwise.
+const REMOVED_AT_ONCE: usize = 4;
+const REMOVAL_PAUSE: Span = Span::millis(300);
 
 impl Controller {
     /// Gives back machines that do not answer while tasks wait for what may be on them. A silent
@@ -171,10 +175,9 @@
     pub(super) fn forget_machine(&mut self, id: ShardId, machine: &MachineId) {
         let now = self.now;
         let Some(shard) = self.shards.get_mut(&id) else { return };
-        let claim = shard.claim;
         let Some(gone) = shard.remove_machine(machine, now) else { return };
+        shard.leftovers.insert(machine.clone(), gone.version);
         self.machine_homes.remove(machine);
-        self.write_forget(id, claim, machine.clone(), gone.version);
     }
 
     fn write_forget(&mut self, id: ShardId, claim: Revision, machine: MachineId, version: Revision) {
@@ -186,12 +189,22 @@
         self.call_state(request, StateWork::Forget { shard: id, claim, machine, version });
     }
 
-    /// Removals of records that were refused or unanswered are tried again. One that was executed
-    /// after all fails on the version, and that is the end of it.
-    pub(super) fn retry_forgets(&mut self, id: ShardId) {
-        let Some(shard) = self.shards.get_mut(&id) else { return };
-        let claim = shard.claim;
-        for (machine, version) in std::mem::take(&mut shard.leftovers) {
+    /// Removes records of machines that are gone, a few at a time: hundreds of machines that are given back at once
+    /// would have most of their removals refused, again and again, and everything else along with them. One
+    /// that was refused or unanswered is tried again; if it was executed after all it fails on the version, and
+    /// that is the end of it.
+    pub(super) fn remove_leftovers(&mut self, id: ShardId) {
+        let now = self.now;
+        let many = self.requests.has_spare(now, 0.5) && self.writes.has_spare(now, 0.5);
+        let Some(claim) = self.shards.get(&id).map(|shard| shard.claim) else { return };
+        for _ in 0..if many { REMOVED_AT_ONCE } else { 1 } {
+            let due = many || now.since(self.last_removal) >= REMOVAL_PAUSE;
+            if !due || !self.writes.take(now, 0.0) {
+                return;
+            }
+            let Some(shard) = self.shards.get_mut(&id) else { return };
+            let Some((machine, version)) = shard.leftovers.pop_first() else { return };
+            self.last_removal = now;
             self.write_forget(id, claim, machine, version);
         }
     }
@@ -207,7 +220,7 @@
         if answer.is_err()
             && let Some(shard) = self.shard_under(id, claim)
         {
-            shard.leftovers.push((machine, version));
+            shard.leftovers.insert(machine, version);
         }
     }
 }
--- a/src/coordination/shard.rs
+++ b/src/coordination/shard.rs
@@ -290,7 +290,7 @@
     pub retry_moves: Vec<MachineId>,
     pub deleting_until: Time,
     /// Machines that are gone but whose record could not be removed yet.
-    pub leftovers: Vec<(MachineId, Revision)>,
+    pub leftovers: BTreeMap<MachineId, Revision>,
 }
 
 /// The queue as it was last put in order: making it anew takes a look at every job.
@@ -343,7 +343,7 @@
             spare: HashSet::new(),
             retry_moves: Vec::new(),
             deleting_until: Time::ZERO,
-            leftovers: Vec::new(),
+            leftovers: BTreeMap::new(),
         }
     }
 
--- a/src/coordination/workers.rs
+++ b/src/coordination/workers.rs
@@ -10,7 +10,43 @@
 /// How long reports are kept for a shard that is being loaded. Workers wait for 4 s.
 const EARLY_WAIT: Span = Span::millis(2000);
 
+/// How long a report waits for its machine to be recorded.
+const ADOPT_WAIT: Span = Span::millis(3000);
+
+/// A report of a machine whose record waits for its turn to be written.
+pub(super) struct ToAdopt {
+    ask: Asker,
+    shard: ShardId,
+    report: Box<Report>,
+    since: Time,
+}
+
 impl Controller {
+    /// Records the machines that wait for it as far as the limits allow.
+    fn adopt_waiting(&mut self) {
+        let now = self.now;
+        while let Some(first) = self.to_adopt.front() {
+            let late = now.since(first.since) > ADOPT_WAIT;
+            if !late && !self.writes.take(now, 0.0) {
+                return;
+            }
+            let Some(ToAdopt { ask, shard, report, .. }) = self.to_adopt.pop_front() else { return };
+            match late {
+                true => self.reply(ask, Reply::busy("waits to be recorded")),
+                false => self.reported_again(ask, shard, report),
+            }
+        }
+    }
+
+    /// Goes on with a report that waited; its shard may have gone to another node meanwhile.
+    fn reported_again(&mut self, ask: Asker, shard: ShardId, report: Box<Report>) {
+        let known = self.shards.get(&shard).is_some_and(|s| s.is_active() && !s.machines.contains_key(&report.machine));
+        match known {
+            true => self.adopt(ask, shard, report),
+            false => self.reported(ask, report),
+        }
+    }
+
     pub(super) fn reported(&mut self, ask: Asker, report: Box<Report>) {
         let id = report.machine.clone();
         if matches!(ask, Asker::Local(_)) {
@@ -75,12 +111,21 @@
             |call| matches!(&call.work, StateWork::Adopt { report: other, .. } if other.machine == report.machine),
         );
         let claim = match self.shards.get(&shard) {
+            // A copy of a report that has come late: the machine is gone.
+            Some(shard) if shard.leftovers.contains_key(&report.machine) => {
+                return self.reply(ask, Reply::busy("given back"));
+            }
             Some(shard) if !under_way => shard.claim,
             _ => return self.reply(ask, Reply::busy("being recorded")),
         };
         if !self.decides(shard) {
             return self.reply(ask, Reply::busy("no right to"));
         }
+        // A fleet that comes up at once would have most of its records refused, and each machine sent round.
+        if !self.writes.take(self.now, 0.0) {
+            self.to_adopt.retain(|waiting| waiting.report.machine != report.machine);
+            return self.to_adopt.push_back(ToAdopt { ask, shard, report, since: self.now });
+        }
         let record = record_of(&report, shard);
         let key = records::machine_key(&report.machine);
         let request = StateCall::Commit {
@@ -281,6 +326,7 @@
     pub(super) fn workers_tick(&mut self) {
         let now = self.now;
         let lease = self.cfg.lease;
+        self.adopt_waiting();
         let ids: Vec<ShardId> = self.shards.keys().copied().collect();
         for id in ids {
             let Some(shard) = self.shards.get_mut(&id) else { continue };
