Recognise machines that do not hear, copies of reports of machines that are gone, and a node on its own

The simulated world gets deaf machines and zones, late copies of reports, a controller with its workers only, and quick returns of controllers and machines; its checker wants an answer for each live job within 75 s of the troubles' end.

A machine is deaf by what its reports do not show: orders without effect, a token that is not taken over, a session that rises although it was answered; it gets nothing more until its session lasts or something shows, and is given back after 3 leases unless more than a quarter are so. Machines count as silent only after the time that a worker takes to wait for an answer and try the next node. A machine without a record is not recorded if this node gave it back, or if it was answered before and the cloud lists it no more. A node that has peers, hears none and is without the state service says at /up that others are better.

--- a/crates/recovery/src/lib.rs
+++ b/crates/recovery/src/lib.rs
@@ -15,6 +15,7 @@
 //! proofs, are in `docs/recovery.md`.
 
 pub mod doubt;
+pub mod hearing;
 pub mod stage;
 pub mod sweep;
 
--- a/src/coordination/controller.rs
+++ b/src/coordination/controller.rs
@@ -227,6 +227,8 @@
     pub(super) writes: Budget,
     /// What the state service allows: today's limit until it refuses something, then the stricter one to come.
     changes_a_second: f64,
+    /// Machines that were given back, of which reports may come late.
+    pub(super) gone: HashSet<MachineId>,
     /// When the record of a machine that is gone was last removed.
     pub(super) last_removal: Time,
     /// Reports of machines whose records wait for their turn to be written.
@@ -312,6 +314,7 @@
             requests,
             writes,
             changes_a_second: cfg.state_writes_now,
+            gone: HashSet::new(),
             last_removal: Time::ZERO,
             to_adopt: VecDeque::new(),
             usage: Usage::default(),
@@ -465,12 +468,13 @@
     /// Whether users are served well here. During an outage every node is equally bad, and
     /// staying in the load balancer's list saves its pause afterwards; if others are entitled
     /// and this one is not, users are better off with them. One that was started in an outage never had a
-    /// lease; if those that it hears are no better off, users hear from it at once when to come back.
+    /// lease; if those that it hears are no better off, users hear from it at once when to come back. One that hears
+    /// nobody at all may be the only one to be so badly off: users find others.
     pub(super) fn useful(&self) -> bool {
         let mut heard = self.members.heard(self.now).peekable();
-        let any = heard.peek().is_some();
+        let any = heard.peek().is_some() || self.cfg.peers.is_empty();
         let others = heard.any(|(_, peer)| peer.word.entitled);
-        self.cloud.catalog.is_some() && (self.entitled() || (self.hold.is_some() || any) && !others)
+        self.cloud.catalog.is_some() && (self.entitled() || any && !others)
     }
 
     pub(super) fn state_answered(&mut self, sent: Time, work: StateWork, answer: Result<StateAnswer, CallError>) {
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -59,6 +59,9 @@
             self.cloud.planned_at = now;
             for id in ids {
                 self.judge_boots(id);
+                if let Some(shard) = self.shards.get_mut(&id) {
+                    shard.judge_hearing();
+                }
                 self.plan(id);
                 self.give_back(id);
             }
@@ -215,7 +218,7 @@
         for (id, machine) in &shard.machines {
             let quiet = now.since(machine.seen) > lease;
             let distrusted = now < machine.distrusted_until;
-            if machine.draining || machine.deleting || machine.notice.is_some() || quiet || distrusted {
+            if machine.draining || machine.deleting || machine.notice.is_some() || quiet || distrusted || machine.deaf {
                 continue;
             }
             let Some(kind) = self.cloud.types.get(&machine.kind) else { continue };
--- a/src/coordination/returns.rs
+++ b/src/coordination/returns.rs
@@ -10,6 +10,8 @@
 const PROOF_WAIT: Span = Span::millis(3_000);
 /// How long after its lease a silent machine that the cloud no longer lists is forgotten.
 const GONE: Span = Span::millis(10_000);
+/// How many machines that were given back are remembered.
+const MOST_GONE: usize = 10_000;
 /// How many records of machines that are gone are removed at once while hardly anything else is written, and the
 /// pause between two of them otherwise.
 const REMOVED_AT_ONCE: usize = 4;
@@ -23,7 +25,8 @@
     /// and nothing is given back.
     pub(super) fn return_silent(&mut self, id: ShardId) {
         let now = self.now;
-        let patience = (self.cfg.lease.times(0.5)).max(self.cfg.report.times(3.0));
+        // One that does not hear its answers waits for each, tries the next node and is there.
+        let patience = (self.cfg.lease.times(0.5)).max(self.cfg.report.times(3.0)).max(self.round_trip());
         let lease = self.cfg.lease;
         let Some(shard) = self.shards.get_mut(&id) else { return };
         // One that reaches this node has reported within that time. What was heard longer ago says
@@ -74,6 +77,9 @@
                 machine.deleting = true;
             }
             machine.deleting |= idle && now < machine.distrusted_until;
+            // It costs as much as one that is of use.
+            let deaf = machine.hearing.deaf_since().filter(|_| machine.deaf);
+            machine.deleting |= deaf.is_some_and(|since| now.since(since) > lease.times(3.0));
             // Paid for, and its tasks are long started anew elsewhere.
             if machine.surely_dead(now, lease, &shard.right) && now.since(machine.seen) > lease.times(1.5) {
                 machine.deleting = true;
@@ -177,6 +183,10 @@
         let Some(shard) = self.shards.get_mut(&id) else { return };
         let Some(gone) = shard.remove_machine(machine, now) else { return };
         shard.leftovers.insert(machine.clone(), gone.version);
+        if self.gone.len() >= MOST_GONE {
+            self.gone.clear();
+        }
+        self.gone.insert(machine.clone());
         self.machine_homes.remove(machine);
     }
 
--- a/src/coordination/shard.rs
+++ b/src/coordination/shard.rs
@@ -12,6 +12,7 @@
 use crate::protocol::workers::{Exit, Report, TaskState};
 use crate::time::{Span, Time};
 use crowstall_dependencies::Wish;
+use crowstall_recovery::hearing::{Hearing, Shows};
 use crowstall_recovery::{Limit, Place, Recovery};
 use crowstall_standby::{Checklist, Overlap, Right};
 use std::cell::Cell;
@@ -166,6 +167,10 @@
     pub answered: Option<Time>,
     /// It has reported under the present token, or can't have had any task before.
     pub proven: bool,
+    /// Whether it hears its answers.
+    pub hearing: Hearing,
+    /// It does not, and most others do: it gets no more tasks until it does.
+    pub deaf: bool,
     /// Unproven: by when a lease given by a former holder has surely run out.
     pub proof_by: Time,
     pub attempts: BTreeMap<AttemptNo, Attempt>,
@@ -222,7 +227,26 @@
     }
 
     pub fn may_bind(&self, now: Time) -> bool {
-        self.proven && !self.draining && !self.deleting && self.notice.is_none() && now >= self.distrusted_until
+        self.proven
+            && !self.deaf
+            && !self.draining
+            && !self.deleting
+            && self.notice.is_none()
+            && now >= self.distrusted_until
+    }
+
+    /// What a newer report shows of the answer to the report before it.
+    pub fn shows(&self, report: &Report) -> Shows {
+        let ordered = |attempt: &Attempt| attempt.state.is_none() && attempt.sent_in == self.last;
+        let mut ordered = self.attempts.iter().filter(|(_, attempt)| ordered(attempt)).map(|(no, _)| no).peekable();
+        if ordered.peek().is_none() {
+            return match self.answered.is_some() && report.token < self.token {
+                true => Shows::Nothing,
+                false => Shows::NothingDue,
+            };
+        }
+        let seen: HashSet<AttemptNo> = report.tasks.iter().map(|task| task.attempt).collect();
+        if ordered.any(|no| seen.contains(no)) { Shows::Heard } else { Shows::Nothing }
     }
 
     pub fn has_image(&self, image: &Name) -> bool {
@@ -363,6 +387,20 @@
         self.recovery.restart_loading();
     }
 
+    /// Decides which machines get no tasks since they do not hear their answers. Where many do not, the fault is
+    /// rather on this side: then none is treated so.
+    pub fn judge_hearing(&mut self) {
+        let deaf = self.machines.values().filter(|machine| machine.hearing.deaf_since().is_some()).count();
+        let few = 4 * deaf <= self.machines.len() + 3;
+        for (id, machine) in &mut self.machines {
+            let deaf = few && machine.hearing.deaf_since().is_some();
+            if machine.deaf != deaf {
+                log::info!("machine {id} {}", if deaf { "does not hear its answers" } else { "hears again" });
+                machine.deaf = deaf;
+            }
+        }
+    }
+
     /// Machines that no work of this shard needs.
     pub fn offers(&self, now: Time) -> Vec<Offer> {
         let idle = self.machines.iter().filter(|(id, machine)| {
@@ -840,6 +878,8 @@
             last: (Session(0), Seq(0)),
             answered: None,
             proven: false,
+            hearing: Hearing::default(),
+            deaf: false,
             proof_by: Time::ZERO,
             attempts: BTreeMap::new(),
             notice: None,
--- a/src/coordination/workers.rs
+++ b/src/coordination/workers.rs
@@ -105,6 +105,15 @@
         ShardId((number % u64::from(self.cfg.team_shards())) as u32)
     }
 
+    /// Whether a machine without a record is one that was given back: reports of it may come late, and must
+    /// not bring it back into the books. One that was answered before, as its token shows, had a record; if it
+    /// is gone the cloud lists it no more, or will not soon.
+    fn is_gone(&self, report: &Report) -> bool {
+        let machine = &report.machine;
+        let leaves = self.shards.values().any(|shard| shard.leftovers.contains_key(machine));
+        leaves || self.gone.contains(machine) || report.token > Token(0) && !self.cloud.listed.contains_key(machine)
+    }
+
     /// Records a machine as this shard's. Only then may its reports be answered with 200.
     fn adopt(&mut self, ask: Asker, shard: ShardId, report: Box<Report>) {
         let under_way = self.state_work.values().any(
@@ -112,9 +121,7 @@
         );
         let claim = match self.shards.get(&shard) {
             // A copy of a report that has come late: the machine is gone.
-            Some(shard) if shard.leftovers.contains_key(&report.machine) => {
-                return self.reply(ask, Reply::busy("given back"));
-            }
+            Some(_) if self.is_gone(&report) => return self.reply(ask, Reply::busy("it is gone")),
             Some(shard) if !under_way => shard.claim,
             _ => return self.reply(ask, Reply::busy("being recorded")),
         };
@@ -212,6 +219,8 @@
             let reply = workers::accepted(machine.token, &[]);
             return self.reply(ask, reply);
         }
+        let shows = machine.shows(&report);
+        machine.hearing.reported(now, report.session, shows, machine.answered, self.cfg.lease);
         let fresh = machine.proven && machine.answered.is_none() && machine.attempts.is_empty();
         machine.last = this;
         machine.seen = now;
--- /dev/null
+++ b/tests/day.rs
@@ -0,0 +1,133 @@
+//! What is checked at the end of a day: nothing is forgotten, the largest are served, and machines that do not
+//! hear, copies of reports and quick returns do no harm.
+
+mod world;
+
+use crowstall::model::*;
+use rand::Rng;
+use world::users::spec;
+use world::{Cut, Host, LEASE, MS, SEC, World};
+
+fn assert_kept(world: &World, seed: u64) {
+    assert!(world.broken.is_empty(), "seed {seed}: {:?}\n{}", world.broken, world.trace.join("\n"));
+}
+
+/// Short arrays that come all the time, so that there is always a front of the line, and services.
+fn busy(seed: u64) -> World {
+    let mut world = World::with_one_shard(seed, [6, 6]);
+    world.cloud.sound = true;
+    world.add_services();
+    for id in 100..220 {
+        let mut job = spec(id, JobKind::Array, "free", 6, 2.0);
+        job.spot = id % 2 == 0;
+        let at = 5 * SEC + u64::from(id - 100) * SEC / 2;
+        world.add_user(job, 3 * SEC, at, None, false);
+    }
+    world.run_until(25 * SEC);
+    world
+}
+
+/// Loses every answer and command to some machines; gives back how many.
+fn deafen(world: &mut World, share: usize, length: u64) -> usize {
+    let until = world.now + length;
+    let some: Vec<u32> = world.workers.keys().copied().step_by(share).collect();
+    for number in &some {
+        world.workers.get_mut(number).expect("it is there").deaf_until = until;
+    }
+    some.len()
+}
+
+#[test]
+fn machines_that_do_not_hear_get_nothing_more_to_do_until_they_do() {
+    for seed in 0..4 {
+        let mut world = busy(seed);
+        let deaf = deafen(&mut world, 5, 60 * SEC);
+        world.run_until(45 * SEC);
+        let lost = world.orders_lost;
+        assert!(lost <= 14 * deaf as u64, "seed {seed}: {lost} starts sent to {deaf} machines that hear nothing");
+        world.run_until(150 * SEC);
+        assert_kept(&world, seed);
+        assert!(world.never_done().is_empty(), "seed {seed}: {:?}", world.never_done());
+    }
+}
+
+/// Where a whole zone is deaf, the fault may be this side's.
+#[test]
+fn healthy_machines_are_not_returned_when_many_do_not_hear() {
+    let returned = |seed: u64, deaf: bool| {
+        let mut world = busy(seed);
+        let deleted = world.cloud.deleted;
+        if deaf {
+            deafen(&mut world, 2, 8 * SEC);
+        }
+        world.run_until(34 * SEC);
+        assert_kept(&world, seed);
+        world.cloud.deleted - deleted
+    };
+    for seed in 0..4 {
+        let (usual, deaf) = (returned(seed, false), returned(seed, true));
+        assert!(deaf <= usual + 2, "seed {seed}: {deaf} machines returned instead of {usual}");
+    }
+}
+
+/// Late copies of reports, also of machines that are gone, bring no machine back.
+#[test]
+fn late_copies_of_reports_bring_no_machine_back() {
+    for seed in 0..6 {
+        let mut world = busy(seed);
+        world.copies = Some((70 * SEC, 3 * LEASE));
+        for _ in 0..12 {
+            let next = world.now + 3 * SEC;
+            world.run_until(next);
+            let numbers: Vec<u32> = world.workers.keys().copied().collect();
+            let number = numbers[world.rng.random_range(0..numbers.len())];
+            world.take_machine(number);
+        }
+        assert_eq!(world.ghosts, 0, "seed {seed}: machines that are gone were recorded");
+        world.run_until(140 * SEC);
+        assert_kept(&world, seed);
+        assert!(world.never_done().is_empty(), "seed {seed}: {:?}", world.never_done());
+    }
+}
+
+/// Controllers and machines that are back within a fraction of a second, also twice in a row and in the middle of
+/// another's takeover.
+#[test]
+fn quick_returns_are_told_from_having_been_there() {
+    for seed in 0..10 {
+        let mut world = busy(seed);
+        for at in 0..10 {
+            let node = if at % 3 == 0 { world.holder(0).unwrap_or(0) } else { world.rng.random_range(0..3usize) };
+            let down = world.rng.random_range(50 * MS..900 * MS);
+            world.crash(node, down);
+            let machines: Vec<u32> = world.workers.keys().copied().collect();
+            for machine in machines.into_iter().filter(|machine| machine % 4 == at % 4) {
+                let down = world.rng.random_range(50 * MS..900 * MS);
+                world.restart_machine(machine, down);
+            }
+            let next = world.now + world.rng.random_range(100 * MS..4 * SEC);
+            world.run_until(next);
+        }
+        world.calm_from = Some(world.now);
+        let end = world.now + 120 * SEC;
+        world.run_until(end);
+        assert_kept(&world, seed);
+        assert!(world.never_done().is_empty(), "seed {seed}: {:?}", world.never_done());
+    }
+}
+
+/// The holder keeps its workers and users and loses all else, for less and for more than it may go on.
+#[test]
+fn an_island_of_a_controller_and_its_workers_breaks_nothing_and_forgets_nobody() {
+    for (seed, length) in [(0, 3), (1, 8), (2, 20), (3, 40), (4, 90), (5, 150)] {
+        let mut world = busy(seed);
+        let node = world.holder(0).expect("somebody holds the shard");
+        let until = world.now + length * SEC;
+        for to in (0..3).filter(|other| *other != node).map(Host::Node).chain([Host::State, Host::Cloud]) {
+            world.cuts.push(Cut { a: Host::Node(node), b: Some(to), until, hold: seed % 2 == 0 });
+        }
+        world.calm_from = Some(world.now + 15 * SEC);
+        world.run_until(until + 60 * SEC);
+        assert_kept(&world, seed);
+    }
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -57,7 +57,8 @@
         trouble(&mut world);
     }
     world.cloud.boots = None;
-    let end = world.now + 150 * SEC;
+    world.calm_from = Some(world.now + 60 * SEC);
+    let end = world.now + 180 * SEC;
     world.run_until(end);
     world
 }
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -13,7 +13,7 @@
 use crowstall::model::*;
 use crowstall::protocol::cloud::CloudCall;
 use crowstall::protocol::peers::{self, Envelope};
-use crowstall::protocol::state::StateCall;
+use crowstall::protocol::state::{Change, StateAnswer, StateCall};
 use crowstall::protocol::users::Ask;
 use crowstall::protocol::workers::{TaskState, WorkerCall};
 use crowstall::protocol::{CallError, Reply};
@@ -128,6 +128,16 @@
     pub workers: BTreeMap<u32, workers::Worker>,
     pub users: Vec<users::User>,
     pub cuts: Vec<Cut>,
+    /// Until then reports come once more, that much later at the most and to any node.
+    pub copies: Option<(u64, u64)>,
+    /// Machines that were recorded and were not there any more.
+    pub ghosts: usize,
+    /// Starts that were sent to machines that do not hear them.
+    pub orders_lost: u64,
+    /// From when on every user must get answers.
+    pub calm_from: Option<u64>,
+    /// The longest that a user with a live job was without one since then.
+    pub longest_unanswered: u64,
     /// Users ask eight times as often.
     pub storm_until: u64,
     pub broken: Vec<String>,
@@ -241,6 +251,11 @@
             workers: BTreeMap::new(),
             users: Vec::new(),
             cuts: Vec::new(),
+            copies: None,
+            ghosts: 0,
+            orders_lost: 0,
+            calm_from: None,
+            longest_unanswered: 0,
             storm_until: 0,
             broken: Vec::new(),
             trace: Vec::new(),
@@ -569,6 +584,14 @@
                 self.at(at, Happening::Tick { node, life });
             }
             Happening::AskArrives { node, origin, ask } => {
+                if let Some((_, most)) = self.copies.filter(|(until, _)| self.now < *until)
+                    && matches!(origin, Origin::Worker(..))
+                    && self.rng.random_bool(0.3)
+                {
+                    let at = self.now + self.rng.random_range(SEC..most);
+                    let to = self.rng.random_range(0..3usize);
+                    self.at(at, Happening::AskArrives { node: to, origin: origin.clone(), ask: ask.clone() });
+                }
                 if self.is_up(node) {
                     self.reports += u64::from(matches!(origin, Origin::Worker(..)));
                     self.next += 1;
@@ -583,6 +606,14 @@
             },
             Happening::StateArrives { node, life, call, request } => {
                 let answer = self.state.handle(self.now, node, &request, self.mutation);
+                if let (Ok(StateAnswer::Committed(_)), StateCall::Commit { changes, .. }) = (&answer, &request) {
+                    let puts = changes.iter().filter_map(|change| match change {
+                        Change::Put { key, .. } => key.strip_prefix("machine/"),
+                        Change::Delete(_) => None,
+                    });
+                    let gone = |name: &&str| !self.workers.contains_key(&workers::number(&MachineId::new(name)));
+                    self.ghosts += puts.filter(gone).count();
+                }
                 self.answer(node, life, call, Host::State, Event::State { call, answer });
             }
             Happening::CloudArrives { node, life, call, request } => {
--- a/tests/world/troubles.rs
+++ b/tests/world/troubles.rs
@@ -12,7 +12,7 @@
     let machine = (!machines.is_empty()).then(|| machines[world.rng.random_range(0..machines.len())]);
     let until = now + length;
     let cut = |a: Host, b: Option<Host>| Cut { a, b, until, hold };
-    match world.rng.random_range(0..18) {
+    match world.rng.random_range(0..27) {
         0 | 1 if world.is_up(node) => world.crash(node, 3 * SEC + length / 5),
         2 => (0..3)
             .filter(|node| world.is_up(*node))
@@ -72,6 +72,44 @@
             }
         }
         16 if world.is_up(node) => world.freeze(node, length / 3),
+        17 | 18 => {
+            // Reports arrive, but neither answers nor commands reach the machine; or a whole zone.
+            let zone = world.rng.random_bool(0.3);
+            let east = machine.and_then(|m| world.workers.get(&m)).map(|worker| worker.zone.clone());
+            let long = world.rng.random_range(SEC..45 * SEC);
+            for worker in world.workers.values_mut() {
+                if Some(worker.number) == machine || zone && Some(&worker.zone) == east.as_ref() {
+                    worker.deaf_until = now + long;
+                }
+            }
+        }
+        19 | 20 => world.copies = Some((until, world.rng.random_range(2 * SEC..3 * LEASE))),
+        21 => {
+            // A controller has only its workers and users left.
+            let others = (0..3).filter(|other| *other != node).map(Host::Node);
+            for to in others.chain([Host::State]) {
+                world.cuts.push(Cut { a: Host::Node(node), b: Some(to), until: now + 2 * length, hold });
+            }
+        }
+        22 | 23 if world.is_up(node) => {
+            let down = world.rng.random_range(50 * MS..900 * MS);
+            world.crash(node, down);
+        }
+        24 => {
+            // All of them, one right after another.
+            for node in 0..3 {
+                let down = world.rng.random_range(50 * MS..900 * MS);
+                if world.is_up(node) {
+                    world.crash(node, down);
+                }
+            }
+        }
+        25 => {
+            for machine in machines.iter().filter(|machine| **machine % 3 == node as u32) {
+                let down = world.rng.random_range(50 * MS..900 * MS);
+                world.restart_machine(*machine, down);
+            }
+        }
         _ => world.storm_until = until,
     }
     world.cuts.retain(|cut| cut.until > now);
--- a/tests/world/users.rs
+++ b/tests/world/users.rs
@@ -21,9 +21,13 @@
     try_no: u64,
     asking: Asking,
     answered: bool,
-    deaf_since: Option<u64>,
+    /// When a node last told it the state of its job.
+    heard: u64,
 }
 
+/// For how long a job may go unanswered.
+const FORGOTTEN: u64 = 75 * SEC;
+
 #[derive(Clone, Copy, PartialEq, Debug)]
 enum Asking {
     Nothing,
@@ -99,7 +103,7 @@
             try_no: 0,
             asking: Asking::Nothing,
             answered: true,
-            deaf_since: None,
+            heard: 0,
         });
         self.at(submit_at, Happening::UserStep { user });
     }
@@ -159,6 +163,17 @@
         if user.given_up {
             return;
         }
+        // However others fare, no job is forgotten once the troubles are over.
+        let over = user.cancelled_at.is_some() || user.asked_to_cancel || user.done_at.is_some();
+        if let Some(calm) = self.calm_from.filter(|_| user.accepted_at.is_some() && !over) {
+            let unanswered = now.saturating_sub(user.heard.max(calm));
+            self.longest_unanswered = self.longest_unanswered.max(unanswered);
+            if unanswered > FORGOTTEN {
+                let what = format!("{} got no answer for {} s", user.spec.id, unanswered / SEC);
+                return self.fail("forgotten", what);
+            }
+        }
+        let user = &self.users[at];
         let (after, late) = (user.after.clone(), user.late);
         if user.accepted_at.is_none() && !after.is_empty() {
             let is_over = |need: &User| need.done_at.is_some() || need.cancelled_at.is_some();
@@ -227,7 +242,7 @@
             return;
         }
         match reply.status {
-            200 | 201 => {}
+            200 | 201 => user.heard = now,
             404 if known => return self.fail("forgotten", format!("{id} gets 404")),
             400 | 422 if known => return self.fail("forgotten", format!("{id} gets {}", reply.status)),
             _ => return,
--- a/tests/world/workers.rs
+++ b/tests/world/workers.rs
@@ -108,6 +108,21 @@
 }
 
 impl World {
+    /// A machine is back within so long: in a new session, with none of its tasks.
+    pub fn restart_machine(&mut self, number: u32, down: u64) {
+        let (now, forgets) = (self.now, self.rng.random_bool(0.5));
+        let Some(worker) = self.workers.get_mut(&number) else { return };
+        worker.tasks.clear();
+        worker.session += 1;
+        worker.flight = None;
+        worker.lease_from = None;
+        worker.up_at = worker.up_at.max(now + down);
+        worker.next_report = now + down;
+        if forgets {
+            worker.token = 0;
+        }
+    }
+
     pub fn step_workers(&mut self) {
         if self.now / SEC != (self.now - 50 * MS) / SEC {
             self.remember_list();
@@ -285,6 +300,7 @@
         let Some(worker) = self.workers.get_mut(&number) else { return };
         let Some((_, sent, session)) = worker.flight.filter(|(id, ..)| *id == report) else { return };
         if now < worker.deaf_until {
+            self.orders_lost += reply.body.matches("\"run\"").count() as u64;
             return;
         }
         if now < worker.hung_until {
@@ -339,7 +355,7 @@
 
     pub fn worker_commanded(&mut self, number: u32, request: &WorkerCall) -> Option<WorkerAnswer> {
         let now = self.now;
-        let worker = self.workers.get_mut(&number).filter(|worker| now >= worker.up_at)?;
+        let worker = self.workers.get_mut(&number).filter(|worker| now >= worker.up_at && now >= worker.deaf_until)?;
         if now < worker.hung_until {
             worker.held.push((0, 0, CallNo(0), request.clone()));
             return None;
