Keep long lists of needs whole in records of their own, and never send a refused record again as it was

Needs that do not fit into the job's record lie in part/JOB/N, written before it, as many at a time as a transaction takes; a holder reads them one after another, and removes them once nobody waits. A record that is refused for its size (400) goes without its ranges of completed tasks, then not at all; one that was written when values could be larger is not rewritten. 800 needs are kept through a crash with values of 2 KiB and 4 changes a transaction.

--- a/benches/following.rs
+++ b/benches/following.rs
@@ -52,6 +52,7 @@
     let record = LiveRecord {
         shard: ShardId(0),
         home: None,
+        parts: 0,
         job,
         accepted_ms: 1_700_000_000_000,
         ready_ms: None,
--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -5,7 +5,7 @@
 //! single transaction, so that a reader that asks for `live` first and `end` second sees it.
 //! A job that waits for others lies there too, under a shard that does not exist, so that a version of the
 //! program that knows nothing of waiting finds it and starts nothing of it (docs/upgrade.md).
-//! `machine/NAME` says which shard a machine belongs to. `shard/new/N/JOB` tells the holder of shard N
+//! `part/JOB/N` has some of its needs where they are too many for one value. `machine/NAME` says which shard a machine belongs to. `shard/new/N/JOB` tells the holder of shard N
 //! of a job that another node accepted for it; it sorts after all shards and is read along with them.
 //! `shard/last/N` outlives the claims on shard N and says by which limits its holders went.
 //! `shard/pulse/N` changes while the holder of shard N lives and some node may not hear it.
@@ -56,6 +56,11 @@
     format!("{ENDS}{job}")
 }
 
+/// Where some of a job's needs lie.
+pub fn part_key(job: &JobId, at: u32) -> String {
+    format!("part/{job}/{at}")
+}
+
 /// The job that a key of an end is of.
 pub fn job_of_end(key: &str) -> JobId {
     JobId::new(key.strip_prefix(ENDS).unwrap_or_default())
@@ -101,6 +106,9 @@
     pub node: NodeLabel,
 }
 
+/// What a part's value takes besides the needs.
+const PART_HEAD: usize = 16;
+
 /// By how much a job's record may grow after it was written first, the ranges of completed tasks aside: `ready_ms`,
 /// `failing`, and longer numbers.
 pub const LATER_BYTES: usize = 96;
@@ -114,6 +122,9 @@
     /// While it waits for other jobs: the shard that it is of.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub home: Option<ShardId>,
+    /// Its needs lie in so many records of their own.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub parts: u32,
     pub job: JobSpec,
     /// When it was accepted, by the time of day, in milliseconds.
     pub accepted_ms: u64,
@@ -131,6 +142,33 @@
     pub failing: bool,
 }
 
+fn is_zero(count: &u32) -> bool {
+    *count == 0
+}
+
+/// Some of the needs of a job.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PartRecord {
+    pub needs: Vec<JobId>,
+}
+
+/// Divides needs that are too many for one value among records of their own.
+pub fn parts_of(needs: &[JobId], value_bytes: usize) -> Vec<PartRecord> {
+    // Each stands in quotes and behind a comma.
+    let mut parts: Vec<(usize, PartRecord)> = Vec::new();
+    for need in needs {
+        let bytes = need.as_str().len() + 3;
+        match parts.last_mut().filter(|(used, _)| used + bytes <= value_bytes) {
+            Some((used, part)) => {
+                *used += bytes;
+                part.needs.push(need.clone());
+            }
+            None => parts.push((PART_HEAD + bytes, PartRecord { needs: vec![need.clone()] })),
+        }
+    }
+    parts.into_iter().map(|(_, part)| part).collect()
+}
+
 impl LiveRecord {
     /// Some of the jobs that it needs may not be done.
     pub fn is_waiting(&self) -> bool {
--- a/src/coordination/controller.rs
+++ b/src/coordination/controller.rs
@@ -3,7 +3,7 @@
 use super::following::{Copied, Following};
 use super::standby::Standby;
 use super::*;
-use crate::bookkeeping::records::{EndRecord, LastRecord};
+use crate::bookkeeping::records::{EndRecord, LastRecord, LiveRecord};
 use crate::bookkeeping::usage::Usage;
 use crate::protocol::peers::Offer;
 use crowstall_standby::{Members, Terms, Word};
@@ -106,6 +106,16 @@
         shard: ShardId,
         claim: Revision,
     },
+    /// Needs that lie in records of their own.
+    ReadPart {
+        shard: ShardId,
+        claim: Revision,
+        record: Box<LiveRecord>,
+        version: Revision,
+        at: u32,
+    },
+    WriteParts(Box<pipelines::NewParts>),
+    RemovePart,
     CheckNeed(Box<pipelines::NeedCheck>),
     Walk(Box<pipelines::Walk>),
     FindMachine {
@@ -524,6 +534,11 @@
             StateWork::Job { shard, claim, job, work } => self.job_written(shard, claim, job, work, answer),
             StateWork::Waiting { shard, claim, job, work } => self.waiting_written(shard, claim, job, work, answer),
             StateWork::ListEnds { shard, claim } => self.ends_listed(shard, claim, answer),
+            StateWork::ReadPart { shard, claim, record, version, at } => {
+                self.part_read(shard, claim, record, version, at, answer)
+            }
+            StateWork::RemovePart => {}
+            StateWork::WriteParts(new) => self.parts_written(*new, answer),
             StateWork::CheckNeed(check) => self.need_checked(*check, answer),
             StateWork::Walk(walk) => self.walked(*walk, answer),
             StateWork::FindMachine { ask, report } => self.machine_found(ask, report, answer),
--- a/src/coordination/ledger.rs
+++ b/src/coordination/ledger.rs
@@ -1,6 +1,7 @@
 //! Writing jobs' records: progress in rounds, ends at once.
 
 use super::pipelines::end_request;
+use super::shard::TooLarge;
 use super::*;
 use crate::bookkeeping::ranges::RangeSet;
 use crate::bookkeeping::records::{self, EndRecord, LiveRecord, to_value};
@@ -123,6 +124,7 @@
         let mut record = LiveRecord {
             shard: shard_id,
             home: None,
+            parts: 0,
             job: job.spec.clone(),
             accepted_ms: job.accepted_ms,
             ready_ms: (job.ready_ms != job.accepted_ms).then_some(job.ready_ms),
@@ -132,7 +134,16 @@
         };
         // What does not fit is not recorded, and so not forgotten by the workers either.
         let base = to_value(&record).to_string().len();
-        let done = job.done.within(value_bytes.saturating_sub(base + 16));
+        if base > value_bytes {
+            // Written when values could be larger, and never rewritten as it stands.
+            log::error!("the record of job {id} has {base} bytes without its progress, more than {value_bytes}");
+            job.too_large = TooLarge::Always;
+            return;
+        }
+        let done = match job.too_large {
+            TooLarge::Not => job.done.within(value_bytes.saturating_sub(base + 16)),
+            _ => RangeSet::new(),
+        };
         record.done = done.to_string();
         job.writing = true;
         job.last_write = now;
@@ -214,6 +225,13 @@
                     return self.job_ended(shard_id, &id, end.state);
                 }
             }
+            (JobWrite::Progress { .. }, Err(CallError::Odd(400))) => {
+                job.too_large = match job.too_large {
+                    TooLarge::Not => TooLarge::WithRanges,
+                    _ => TooLarge::Always,
+                };
+                log::error!("the record of job {id} is refused for good: {:?}", job.too_large);
+            }
             // Refused means not executed: the next round tries again.
             (JobWrite::Progress { .. } | JobWrite::End(_), Err(CallError::Refused { .. })) => {
                 job.refused = true;
--- a/src/coordination/pipelines.rs
+++ b/src/coordination/pipelines.rs
@@ -34,6 +34,8 @@
     version: Revision,
     accepted_ms: u64,
     untouched: u32,
+    /// How many records of their own its needs lie in.
+    parts: u32,
     /// Its user has asked to cancel it.
     cancelled: bool,
     cancel_askers: Vec<Asker>,
@@ -48,6 +50,10 @@
 pub(super) struct Pipelines {
     graph: Graph,
     jobs: HashMap<JobId, Waiting>,
+    /// Jobs whose needs have still to be read, and whether that is under way.
+    partial: HashMap<JobId, (LiveRecord, Revision, bool)>,
+    /// Records of needs that nobody needs any more.
+    spent_parts: Vec<String>,
     /// Those of them whose records have to be written or read.
     due: BTreeSet<JobId>,
     /// Jobs whose cancellation is being written, and may have been read by others.
@@ -68,6 +74,8 @@
         Pipelines {
             graph: Graph::default(),
             jobs: HashMap::new(),
+            partial: HashMap::new(),
+            spent_parts: Vec::new(),
             due: BTreeSet::new(),
             doubted: HashSet::new(),
             late_factors,
@@ -82,7 +90,7 @@
     }
 
     pub fn contains(&self, job: &JobId) -> bool {
-        self.jobs.contains_key(job)
+        self.jobs.contains_key(job) || self.partial.contains_key(job)
     }
 
     pub fn len(&self) -> usize {
@@ -99,7 +107,11 @@
 
     /// Takes in a job that waits.
     pub fn wait(&mut self, record: LiveRecord, version: Revision) {
-        let LiveRecord { job: spec, accepted_ms, untouched, .. } = record;
+        if record.parts > 0 && record.job.prerequisites.is_empty() {
+            self.partial.insert(record.job.id.clone(), (record, version, false));
+            return;
+        }
+        let LiveRecord { job: spec, accepted_ms, untouched, parts, .. } = record;
         let wish = self.wish(&spec, accepted_ms);
         let id = spec.id.clone();
         let withdrawn = self.graph.wait(&id, &spec.prerequisites, wish);
@@ -111,6 +123,7 @@
             version,
             accepted_ms,
             untouched,
+            parts,
             cancelled: false,
             cancel_askers: Vec::new(),
             writing: false,
@@ -122,6 +135,19 @@
         self.scanned = None;
     }
 
+    /// A job waits no more: its needs' own records are of no use.
+    fn remove(&mut self, job: &JobId) -> Option<Waiting> {
+        self.due.remove(job);
+        let waiting = self.jobs.remove(job)?;
+        self.spent_parts.extend((0..waiting.parts).map(|at| records::part_key(job, at)));
+        Some(waiting)
+    }
+
+    /// A record of needs that can be removed.
+    pub fn spent_part(&mut self) -> Option<String> {
+        self.spent_parts.pop()
+    }
+
     /// A job is in memory and waits for nothing.
     pub fn is_live(&mut self, job: &JobId, wish: Wish) {
         self.graph.live(job, wish);
@@ -221,6 +247,15 @@
     }
 }
 
+/// A new job whose needs are being written before it.
+pub(super) struct NewParts {
+    pub shard: ShardId,
+    pub claim: Revision,
+    pub record: Box<LiveRecord>,
+    pub from_afar: bool,
+    pub left: Vec<(u32, records::PartRecord)>,
+}
+
 /// A look at whether anything that a waiting job needs was cancelled, from record to record: what a node does
 /// that does not know.
 pub(super) struct Walk {
@@ -290,7 +325,9 @@
     pub(super) fn waiting_view(&mut self, asker: Asker, shard_id: ShardId, id: JobId) {
         let Some(shard) = self.shards.get(&shard_id) else { return self.reply(asker, Reply::busy("not held here")) };
         let pipelines = &shard.pipelines;
-        let Some(job) = pipelines.jobs.get(&id) else { return self.reply(asker, Reply::busy("try again")) };
+        let Some(job) = pipelines.jobs.get(&id) else {
+            return self.reply(asker, Reply::busy("the jobs that it needs are being read"));
+        };
         let reply = match pipelines.graph.outlook(&id, &pipelines.doubted) {
             Outlook::Withdrawn(cause) => final_view(&id, &withdrawn(Some(cause))),
             _ if job.cancelled || job.unsure => Reply::busy("its record is being written"),
@@ -306,7 +343,9 @@
         if let Some(cause) = shard.pipelines.withdrawn_with(&id) {
             return self.reply(asker, final_view(&id, &withdrawn(Some(cause))));
         }
-        let Some(job) = shard.pipelines.jobs.get_mut(&id) else { return };
+        let Some(job) = shard.pipelines.jobs.get_mut(&id) else {
+            return self.reply(asker, Reply::busy("the jobs that it needs are being read"));
+        };
         job.cancelled = true;
         if waits {
             return self.reply(asker, Reply::busy("its former holder may not know yet that it was replaced"));
@@ -333,6 +372,7 @@
 
     /// The rounds: finds out about needs that are not in memory, and writes what is due.
     pub(super) fn pipelines_tick(&mut self, shard_id: ShardId) {
+        self.read_parts(shard_id);
         self.find_needs(shard_id);
         self.write_due(shard_id);
         if let Some(shard) = self.shards.get_mut(&shard_id) {
@@ -384,6 +424,7 @@
             let record = LiveRecord {
                 shard: shard_id,
                 home: None,
+                parts: 0,
                 job: JobSpec { prerequisites: Vec::new(), ..job.spec.clone() },
                 accepted_ms: job.accepted_ms,
                 ready_ms: Some(day_ms),
@@ -487,8 +528,7 @@
         let now = self.now;
         let Some(shard) = self.shards.get_mut(&shard_id) else { return };
         let id = record.job.id.clone();
-        let waiting = shard.pipelines.jobs.remove(&id);
-        shard.pipelines.due.remove(&id);
+        let waiting = shard.pipelines.remove(&id);
         shard.accept_job(record, version, now);
         shard.note_urgency();
         let Some(waiting) = waiting else { return };
@@ -503,8 +543,7 @@
     /// The end of a job that waited is durable.
     fn waiting_ended(&mut self, shard_id: ShardId, id: &JobId, end: EndRecord) {
         let Some(shard) = self.shards.get_mut(&shard_id) else { return };
-        let waiting = shard.pipelines.jobs.remove(id);
-        shard.pipelines.due.remove(id);
+        let waiting = shard.pipelines.remove(id);
         log::info!("job {id} {:?} before any of it was started", end.state);
         let state = end.state;
         self.job_homes.remove(id);
@@ -515,6 +554,81 @@
         }
     }
 
+    /// Reads the needs that lie in records of their own, one record after another.
+    fn read_parts(&mut self, shard_id: ShardId) {
+        let Some(shard) = self.shards.get_mut(&shard_id) else { return };
+        let claim = shard.claim;
+        let mut calls = Vec::new();
+        for (job, (record, version, reading)) in &mut shard.pipelines.partial {
+            if !*reading {
+                *reading = true;
+                calls.push((job.clone(), Box::new(record.clone()), *version));
+            }
+        }
+        for (job, record, version) in calls {
+            let request = StateCall::Get(records::part_key(&job, 0));
+            self.call_state(request, StateWork::ReadPart { shard: shard_id, claim, record, version, at: 0 });
+        }
+    }
+
+    pub(super) fn part_read(
+        &mut self,
+        shard_id: ShardId,
+        claim: Revision,
+        mut record: Box<LiveRecord>,
+        version: Revision,
+        at: u32,
+        answer: Result<StateAnswer, CallError>,
+    ) {
+        let Some(shard) = self.shard_under(shard_id, claim) else { return };
+        let id = record.job.id.clone();
+        let part = match answer {
+            Ok(StateAnswer::Found(entry)) => serde_json::from_value::<records::PartRecord>(entry.value).ok(),
+            _ => None,
+        };
+        let Some(part) = part else {
+            // From the beginning, at the next round.
+            if let Some((_, _, reading)) = shard.pipelines.partial.get_mut(&id) {
+                *reading = false;
+            }
+            return;
+        };
+        record.job.prerequisites.extend(part.needs);
+        if at + 1 < record.parts {
+            let request = StateCall::Get(records::part_key(&id, at + 1));
+            let work = StateWork::ReadPart { shard: shard_id, claim, record, version, at: at + 1 };
+            return self.call_state(request, work);
+        }
+        shard.pipelines.partial.remove(&id);
+        shard.wait_job(*record, version);
+    }
+
+    /// Writes the needs of a new job that are too many for its own record, as many records at a time as fit into a
+    /// transaction, and then the job's. The same submission writes the same again.
+    pub(super) fn write_parts(&mut self, mut new: NewParts) {
+        if new.left.is_empty() {
+            return self.commit_accept(new.shard, new.claim, new.record, new.from_afar);
+        }
+        let rest = new.left.split_off(self.cfg.txn_ops.min(new.left.len()));
+        let id = new.record.job.id.clone();
+        let changes = new.left.drain(..).map(|(at, part)| Change::Put {
+            key: records::part_key(&id, at),
+            value: to_value(&part),
+            hold: None,
+        });
+        let request =
+            StateCall::Commit { conditions: vec![(records::live_key(&id), Revision(0))], changes: changes.collect() };
+        new.left = rest;
+        self.call_state(request, StateWork::WriteParts(Box::new(new)));
+    }
+
+    pub(super) fn parts_written(&mut self, new: NewParts, answer: Result<StateAnswer, CallError>) {
+        match answer {
+            Ok(StateAnswer::Committed(_)) => self.write_parts(new),
+            answer => self.accept_answered(new.shard, new.claim, *new.record, answer),
+        }
+    }
+
     /// Finds out how needs have ended that are in no shard's memory here: their ends are listed from the first of
     /// them on, so that thousands take a few pages.
     fn find_needs(&mut self, shard_id: ShardId) {
@@ -641,6 +755,9 @@
 
     /// Tells of a waiting job by the records alone: all that is read was read after the question came.
     pub(super) fn walk(&mut self, asker: Asker, record: &LiveRecord) {
+        if record.parts > 0 {
+            return self.reply(asker, Reply::busy("its shard's holder has to be asked"));
+        }
         let needs = record.job.prerequisites.clone();
         let job = record.job.id.clone();
         let (open, seen) = (needs.clone(), needs.iter().cloned().collect());
@@ -687,6 +804,9 @@
             Ok(StateAnswer::Found(entry)) => {
                 if let Ok(record) = serde_json::from_value::<LiveRecord>(entry.value) {
                     // All that one needed that does not wait any more is done.
+                    if record.parts > 0 {
+                        return self.reply(walk.asker, Reply::busy("it needs too many jobs to look at them all"));
+                    }
                     if record.is_waiting() {
                         let fresh = record.job.prerequisites.into_iter().filter(|need| walk.seen.insert(need.clone()));
                         let fresh: Vec<JobId> = fresh.collect();
@@ -731,6 +851,7 @@
     LiveRecord {
         shard: if waits { NO_SHARD } else { shard },
         home: waits.then_some(shard),
+        parts: 0,
         job,
         accepted_ms,
         ready_ms: None,
--- a/src/coordination/returns.rs
+++ b/src/coordination/returns.rs
@@ -213,9 +213,18 @@
                 return;
             }
             let Some(shard) = self.shards.get_mut(&id) else { return };
-            let Some((machine, version)) = shard.leftovers.pop_first() else { return };
-            self.last_removal = now;
-            self.write_forget(id, claim, machine, version);
+            if let Some((machine, version)) = shard.leftovers.pop_first() {
+                self.last_removal = now;
+                self.write_forget(id, claim, machine, version);
+            } else if let Some(key) = shard.pipelines.spent_part() {
+                // One that is left behind by a change of hands does no harm.
+                self.last_removal = now;
+                let conditions = vec![(records::shard_key(id), claim)];
+                let request = StateCall::Commit { conditions, changes: vec![Change::Delete(key)] };
+                self.call_state(request, StateWork::RemovePart);
+            } else {
+                return;
+            }
         }
     }
 
--- a/src/coordination/shard.rs
+++ b/src/coordination/shard.rs
@@ -49,6 +49,8 @@
     pub unsure: bool,
     /// The last write of its record was refused, and so not executed.
     pub refused: bool,
+    /// Its record was refused for its size: the next one is smaller, or there is none.
+    pub too_large: TooLarge,
     /// Its user has asked to cancel it, or it is done: nothing is started any more.
     pub ending: Option<Final>,
     pub cancel_askers: Vec<Asker>,
@@ -107,12 +109,25 @@
     }
 
     pub fn is_dirty(&self) -> bool {
+        if self.too_large == TooLarge::Always {
+            return false;
+        }
         self.done.len() != self.written
             || self.wants_untouched() > self.untouched
             || self.at_fault != self.fault_recorded
     }
 }
 
+/// Whether a job's record fits into the state service. The same record must not be sent again and again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum TooLarge {
+    Not,
+    /// With all that it could have: it goes without the ranges of completed tasks from now on.
+    WithRanges,
+    /// Whatever is left out. It stays as it is.
+    Always,
+}
+
 /// How many machines are remembered on which a job's tasks failed.
 const MOST_FAILED_ON: usize = 64;
 
@@ -485,6 +500,7 @@
             writing: false,
             unsure: false,
             refused: false,
+            too_large: TooLarge::Not,
             ending: None,
             cancel_askers: Vec::new(),
             last_write: Time::ZERO,
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -1,6 +1,6 @@
 //! Submitting, asking and cancelling.
 
-use super::pipelines::new_record;
+use super::pipelines::{NewParts, new_record};
 use super::shard::Job;
 use super::*;
 use crate::bookkeeping::records::{self, EndRecord, LiveRecord, to_value};
@@ -443,21 +443,32 @@
             return;
         }
         let untouched = spec.tasks.min(FIRST_STARTS);
-        let record = new_record(shard, spec, self.day_ms, untouched);
-        let value = to_value(&record);
-        if value.to_string().len() + records::LATER_BYTES > self.cfg.value_bytes {
+        let mut record = new_record(shard, spec, self.day_ms, untouched);
+        let most = self.cfg.value_bytes.saturating_sub(records::LATER_BYTES);
+        let mut left = Vec::new();
+        if to_value(&record).to_string().len() > most {
+            let needs = std::mem::take(&mut record.job.prerequisites);
+            left = (0..).zip(records::parts_of(&needs, self.cfg.value_bytes)).collect();
+            record.parts = left.len() as u32;
+        }
+        if to_value(&record).to_string().len() > most {
             return self.reply(asker, Reply::error(400, "larger than can be recorded"));
         }
+        self.accepting.insert(id, vec![asker]);
+        self.write_parts(NewParts { shard, claim, record: Box::new(record), from_afar, left });
+    }
+
+    /// Commits a new job's record. Whatever of its needs lies in other records is there.
+    pub(super) fn commit_accept(&mut self, shard: ShardId, claim: Revision, record: Box<LiveRecord>, from_afar: bool) {
+        let id = record.job.id.clone();
         let key = records::live_key(&id);
         let conditions =
             vec![(records::shard_key(shard), claim), (key.clone(), Revision(0)), (records::end_key(&id), Revision(0))];
-        let mut changes = vec![Change::Put { key, value, hold: None }];
+        let mut changes = vec![Change::Put { key, value: to_value(&record), hold: None }];
         if from_afar {
             let value = serde_json::json!({});
             changes.push(Change::Put { key: records::note_key(shard, &id), value, hold: None });
         }
-        self.accepting.insert(id, vec![asker]);
-        let record = Box::new(record);
         self.call_state(StateCall::Commit { conditions, changes }, StateWork::Accept { shard, claim, record });
     }
 
--- a/tests/pipelines.rs
+++ b/tests/pipelines.rs
@@ -230,6 +230,35 @@
     assert_kept(&world, 3);
 }
 
+/// More needs than fit into a value or into a transaction are kept whole, through a change of hands and with the
+/// limits lowered.
+#[test]
+fn hundreds_of_needs_are_kept_whole() {
+    for (seed, fails) in [(1, false), (2, true)] {
+        let mut world = World::with_one_shard(seed, [6, 6]);
+        world.state.limits = Some([2048, 4, 60]);
+        let mut needs = Vec::new();
+        for id in 0..800 {
+            let job = spec(id, JobKind::Array, "free", 1, 0.5);
+            let run = if id == 0 { 110 * SEC } else { 50 * SEC };
+            needs.push(world.add_stage(job, &[], run, 2 * SEC, (id == 0 && fails).then_some(90 * SEC)));
+        }
+        let last = world.add_stage(spec(900, JobKind::Array, "free", 2, 2.0), &needs, SEC, 2 * SEC, None);
+        world.run_until(60 * SEC);
+        assert!(world.users[last].accepted_at.is_some(), "seed {seed}: it is not accepted");
+        assert!(world.state.get("part/wk-000900/4").is_some(), "seed {seed}: its needs are not spread out");
+        let holder = world.holder(0).expect("somebody holds the shard");
+        world.crash(holder, 3 * SEC);
+        world.run_until(80 * SEC);
+        assert!(world.users[last].done_at.is_none() && world.users[last].cancelled_at.is_none());
+        world.run_until(200 * SEC);
+        assert_kept(&world, seed);
+        let user = &world.users[last];
+        assert_eq!((user.done_at.is_some(), user.cancelled_at.is_some()), (!fails, fails), "seed {seed}");
+        assert!(world.state.get("part/wk-000900/0").is_none(), "seed {seed}: its needs' records stay for ever");
+    }
+}
+
 /// What the version before this one wrote is read, and what this one writes is of use to it.
 #[test]
 fn records_go_both_ways_between_versions() {
