Let what is urgent for others' sake come after what is urgent itself, and size the fleet by start aims

Cause: 43 replicas of a zone that was cut off waited 15 to 55 s, since stages with inherited priority and a due time went before services, which have none. They come after whatever has that priority by its own words now. Where a class's tasks should start within some time, a slot of the fleet gets no more of them than can; and a machine counts as silent a little sooner again than after a whole round trip of its worker.

--- a/src/coordination/binding.rs
+++ b/src/coordination/binding.rs
@@ -119,7 +119,7 @@
     /// All jobs that are not ending, the most urgent first, whether anything of them can be started or not.
     pub fn by_urgency(&self, cfg: &Settings, day_ms: u64) -> Vec<&Job> {
         let mut jobs: Vec<&Job> = self.jobs.values().filter(|job| job.ending.is_none()).collect();
-        jobs.sort_by_key(|job| (job.priority(), job.left_ms(cfg, day_ms), &job.order));
+        jobs.sort_by_key(|job| (job.rank(), job.left_ms(cfg, day_ms), &job.order));
         jobs
     }
 
@@ -145,7 +145,7 @@
                 let left = job.left_ms(market.cfg, market.day_ms);
                 // Of what nobody expects by a certain time, the team that uses least goes first.
                 let share = if left == u64::MAX && !within { used.cpus } else { Amount(0) };
-                Some((job.priority(), !within, left, share, &job.order))
+                Some((job.rank(), !within, left, share, &job.order))
             })
             .collect();
         line.sort();
--- a/src/coordination/detours.rs
+++ b/src/coordination/detours.rs
@@ -83,7 +83,7 @@
     }
 
     /// How long a worker that is sent to the holder in vain takes to come back, at the most.
-    pub(super) fn round_trip(&self) -> Span {
+    fn round_trip(&self) -> Span {
         ANSWER_WAIT + NEXT_NODE + self.cfg.report.times(1.5)
     }
 
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -204,12 +204,18 @@
     /// done, on a machine that is there and on one that has to boot first: the per-machine target
     /// of the source, per slot.
     fn per_slot_targets(&self, job: &super::shard::Job) -> (u32, u32) {
-        let Some(left) = job.time_left(&self.cfg, self.day_ms) else { return (2, 2) };
         let types = || self.cloud.catalog.iter().flatten();
         let boot = types().map(|kind| kind.boot.as_secs()).fold(f64::MAX, f64::min);
         let fetch = self.cloud.least_fetch(job.spec.image_gb);
         let target = |usable: f64| (usable / job.run_time()).floor().clamp(1.0, 1000.0) as u32;
-        (target(left * USABLE - fetch), target(left * USABLE - fetch - boot))
+        let left = job.time_left(&self.cfg, self.day_ms).map(|left| left * USABLE);
+        let (here, new) = left.map_or((2, 2), |left| (target(left - fetch), target(left - fetch - boot)));
+        // Where tasks should start within some time, the last one of a slot has to.
+        let Some(within) = self.cfg.start_within.get(&job.spec.class) else { return (here, new) };
+        let age = self.day_ms.saturating_sub(job.ready_ms) as f64 / 1000.0;
+        let usable = (within.as_secs() - age) * USABLE;
+        let start = |usable: f64| target(usable).saturating_add(u32::from(usable > job.run_time()));
+        (here.min(start(usable - fetch)), new.min(start(usable - fetch - boot)))
     }
 
     fn bins(&self, shard: &Shard) -> Vec<Bin> {
--- a/src/coordination/returns.rs
+++ b/src/coordination/returns.rs
@@ -5,6 +5,7 @@
 use crate::bookkeeping::records;
 use crate::protocol::cloud::{Listed, MOST_DELETED, MachineState};
 use crate::protocol::state::Change;
+use crate::protocol::workers::{ANSWER_WAIT, NEXT_NODE};
 
 /// How long after a takeover a machine may take to answer before it is given back.
 const PROOF_WAIT: Span = Span::millis(3_000);
@@ -26,7 +27,9 @@
     pub(super) fn return_silent(&mut self, id: ShardId) {
         let now = self.now;
         // One that does not hear its answers waits for each, tries the next node and is there.
-        let patience = (self.cfg.lease.times(0.5)).max(self.cfg.report.times(3.0)).max(self.round_trip());
+        let patience = (self.cfg.lease.times(0.5))
+            .max(self.cfg.report.times(3.0))
+            .max(ANSWER_WAIT + NEXT_NODE + Span::millis(500));
         let lease = self.cfg.lease;
         let Some(shard) = self.shards.get_mut(&id) else { return };
         // One that reaches this node has reported within that time. What was heard longer ago says
--- a/src/coordination/shard.rs
+++ b/src/coordination/shard.rs
@@ -84,6 +84,12 @@
         self.urged.map_or(self.spec.priority, |urged| urged.priority.min(self.spec.priority))
     }
 
+    /// Its place among the priorities: what has one only for others' sake comes after what has it by its own
+    /// words, or whole arrays that are due soon would go before services, which never are.
+    pub fn rank(&self) -> (Priority, bool) {
+        (self.priority(), self.priority() != self.spec.priority)
+    }
+
     pub fn is_live(&self) -> bool {
         self.ending.is_none() && !self.unsure
     }
--- a/tests/pipelines.rs
+++ b/tests/pipelines.rs
@@ -259,6 +259,21 @@
     }
 }
 
+/// Values may be smaller than was said: what is refused for its size is not sent again as it was, and the job is
+/// done all the same.
+#[test]
+fn what_is_refused_for_its_size_is_not_sent_again() {
+    let mut world = World::with_one_shard(1, [4, 4]);
+    world.cloud.sound = true;
+    world.add_user(spec(1, JobKind::Array, "free", 300, 1.0), 2 * SEC, 2 * SEC, None, false);
+    world.run_until(12 * SEC);
+    world.state.limits = Some([world.state.get("live/wk-000001").expect("it is live").to_string().len(), 4, 60]);
+    world.run_until(120 * SEC);
+    assert!(world.broken.is_empty(), "{:?}", world.broken);
+    assert!(world.users[0].done_at.is_some(), "it is never done");
+    assert!((1..4).contains(&world.state.too_large.len()), "refused for size: {:?}", world.state.too_large);
+}
+
 /// What the version before this one wrote is read, and what this one writes is of use to it.
 #[test]
 fn records_go_both_ways_between_versions() {
