--- a/crates/crowctl/src/jobs.rs
+++ b/crates/crowctl/src/jobs.rs
@@ -14,7 +14,7 @@
 /// A request's body may be no longer.
 const MOST_BODY: usize = 64 * 1024;
 
-pub fn submit(client: &Client, file: &Path, format: Format) -> Result<(), Failure> {
+pub fn submit(client: &Client, file: &Path, needs: &[String], format: Format) -> Result<(), Failure> {
     let bad = |error: String| Failure::BadInput(format!("{}: {error}", file.display()));
     let mut text = String::new();
     let read = match file.to_str() {
@@ -25,9 +25,21 @@
     if text.len() > MOST_BODY {
         return Err(bad(format!("{} bytes, more than {MOST_BODY}", text.len())));
     }
-    let job: serde_json::Value = serde_json::from_str(&text).map_err(|error| bad(error.to_string()))?;
-    let id = job["id"].as_str().ok_or_else(|| bad("id: missing, or not a text".into()))?;
-    checked(id)?;
+    let mut job: serde_json::Value = serde_json::from_str(&text).map_err(|error| bad(error.to_string()))?;
+    checked(job["id"].as_str().ok_or_else(|| bad("id: missing, or not a text".into()))?)?;
+    if !needs.is_empty() {
+        let all = job.as_object_mut().map(|job| job.entry("awaits").or_insert_with(|| serde_json::json!([])));
+        let all = all.ok_or_else(|| bad("not an object".into()))?;
+        if all.is_null() {
+            *all = serde_json::json!([]);
+        }
+        let all = all.as_array_mut().ok_or_else(|| bad("awaits: not a list".into()))?;
+        for need in needs {
+            checked(need)?;
+            all.push(need.as_str().into());
+        }
+        text = job.to_string();
+    }
     let view: JobView = client.post("/v1/jobs", &text)?.read()?;
     tell(&view, format)
 }
@@ -61,12 +73,21 @@
 }
 
 fn tell(view: &JobView, format: Format) -> Result<(), Failure> {
-    let rows = [
+    let mut rows = vec![
         ("job", view.id.to_string()),
         ("state", state_name(view.state).to_string()),
         ("tasks done", view.done.to_string()),
         ("tasks running", view.running.to_string()),
     ];
+    if !view.waits_for.is_empty() {
+        let named: Vec<&str> = view.waits_for.iter().map(|need| need.as_str()).collect();
+        let more = view.waits_for_count.unwrap_or(0).saturating_sub(named.len());
+        let more = if more > 0 { format!(" and {more} more") } else { String::new() };
+        rows.push(("waits for", named.join(", ") + &more));
+    }
+    if let Some(cause) = &view.withdrawn_with {
+        rows.push(("cancelled with", cause.to_string()));
+    }
     show(format, view, &rows)
 }
 
--- a/crates/crowctl/src/main.rs
+++ b/crates/crowctl/src/main.rs
@@ -35,7 +35,12 @@
 #[derive(Subcommand)]
 enum Command {
     /// Submit a job described in a JSON file ("-": standard input)
-    Submit { file: PathBuf },
+    Submit {
+        file: PathBuf,
+        /// Jobs that have to be done before it starts, beside those that the file names
+        #[arg(long, value_name = "ID", value_delimiter = ',')]
+        needs: Vec<String>,
+    },
     /// Tell the state of a job
     Status {
         id: String,
@@ -108,7 +113,7 @@
     let format = arguments.format;
     let client = client::Client::new(arguments.server);
     let result = match arguments.command {
-        Command::Submit { file } => jobs::submit(&client, &file, format),
+        Command::Submit { file, needs } => jobs::submit(&client, &file, &needs, format),
         Command::Status { id, watch: false } => jobs::status(&client, &id, format),
         Command::Status { id, watch: true } => jobs::watch(&client, &id, format),
         Command::Cancel { id } => jobs::cancel(&client, &id, format),
--- a/crates/crowctl/tests/commands.rs
+++ b/crates/crowctl/tests/commands.rs
@@ -141,3 +141,16 @@
         let _ = std::fs::remove_file(path);
     }
 }
+
+#[test]
+fn needs_are_added_to_the_file_and_told_of_again() {
+    let answer = r#"{"id":"wk-3","mood":"pending","waits_for":["wk-1","wk-2"],"waits_for_count":5}"#;
+    let (addr, asked) = controller(Box::leak(Box::new([(201, answer)])));
+    let file = r#"{"id":"wk-3","awaits":["wk-1"]}"#;
+    let output = crowctl(&["--server", &addr, "submit", "--needs", "wk-2", "-"], file);
+    assert!(output.status.success(), "{}", text(&output.stderr));
+    assert_eq!(asked.recv().expect("a request"), r#"POST /v1/jobs HTTP/1.1 {"awaits":["wk-1","wk-2"],"id":"wk-3"}"#);
+    assert!(text(&output.stdout).contains("wk-1, wk-2 and 3 more"), "{}", text(&output.stdout));
+    let output = crowctl(&["--server", &addr, "submit", "--needs", "job-2", "-"], file);
+    assert_eq!(output.status.code(), Some(2), "{}", text(&output.stderr));
+}
--- a/tests/protocol.rs
+++ b/tests/protocol.rs
@@ -37,6 +37,41 @@
     assert_eq!(spec.deadline_s, Some(900.0));
 }
 
+#[test]
+fn needs_are_read_and_counted_once() {
+    let mut body = submission();
+    for none in [json!(null), json!([])] {
+        body["awaits"] = none;
+        assert!(matches!(submit(&body), Ask::Submit(Ok(spec)) if spec.prerequisites.is_empty()));
+    }
+    body["awaits"] = json!(["wk-000007", "wk-000003", "wk-000007"]);
+    let Ask::Submit(Ok(spec)) = submit(&body) else { panic!("not taken") };
+    assert_eq!(spec.prerequisites, [JobId::new("wk-000003"), JobId::new("wk-000007")]);
+}
+
+/// A message of a newer version is none here, and what comes after it is read.
+#[test]
+fn unknown_messages_between_controllers_are_passed_over() {
+    let beat = peers::Envelope {
+        from: NodeLabel::new("perch-1"),
+        message: peers::PeerMessage::Released { shard: ShardId(1) },
+    };
+    let mut value = ciborium::value::Value::serialized(&beat).expect("it can be written");
+    let swap = |value: &mut ciborium::value::Value, name: &str| {
+        let fields = value.as_map_mut().expect("a map");
+        let message = fields.iter_mut().find(|(key, _)| key.as_text() == Some("message")).expect("a message");
+        message.1.as_map_mut().expect("named")[0].0 = name.into();
+    };
+    let write = |value: &ciborium::value::Value| {
+        let mut bytes = Vec::new();
+        ciborium::into_writer(value, &mut bytes).expect("it can be written");
+        bytes
+    };
+    assert_eq!(peers::decode(&write(&value)), Some(beat));
+    swap(&mut value, "Foretold");
+    assert_eq!(peers::decode(&write(&value)), None);
+}
+
 #[test]
 fn every_bad_field_is_refused_and_the_id_kept() {
     let bad = [
@@ -56,6 +91,10 @@
         ("breeds", json!("g8")),
         ("roost", json!(7)),
         ("dusk_s", json!(-5)),
+        ("awaits", json!("wk-1")),
+        ("awaits", json!({"wk-1": 1})),
+        ("awaits", json!(["job-1"])),
+        ("awaits", json!([7])),
         ("flock", json!("")),
     ];
     for (field, value) in bad {
@@ -289,6 +328,23 @@
         let error = Settings::parse(&FILE.replacen(from, to, 1), None).unwrap_err().0;
         assert!(error.contains(word) && !error.contains('\n'), "{to}: {error}");
     }
+    // What will hold is kept to from the start, field by field; the rate once something was refused.
+    let next = |fields: &str| {
+        Settings::parse(
+            &FILE.replacen("[facts.cloud]", &format!("[facts.state.next]\n{fields}\n[facts.cloud]"), 1),
+            None,
+        )
+    };
+    let stricter = next("txn_ops = 4\nvalue_kb = 1.5\nwrite_rps = 5.0").unwrap();
+    assert_eq!((stricter.txn_ops, stricter.value_bytes, stricter.state_writes), (4, 1536, 5.0));
+    assert!(stricter.state_writes_now > 5.0);
+    assert_eq!(next("txn_ops = 1000").unwrap().txn_ops, 8);
+    for (fields, word) in
+        [("txn_ops = 1", "next.txn_ops"), ("value_kb = 0.5", "next.value_kb"), ("rps = -1.0", "next.rps")]
+    {
+        let error = next(fields).unwrap_err().0;
+        assert!(error.contains(word) && !error.contains('\n'), "{fields}: {error}");
+    }
 }
 
 #[test]
