--- a/src/coordination/binding.rs
+++ b/src/coordination/binding.rs
@@ -7,9 +7,11 @@
 use crate::model::*;
 use crate::protocol::workers::Command;
 use crate::time::{Span, Time};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 
+/// After so many times the skip limit a job of which nothing runs has waited for too long.
+const LONG_WAITS: f64 = 1.5;
 /// For how long the order of the line is kept.
 const LINE_AGE: Span = Span::millis(200);
 
@@ -51,11 +53,22 @@
         ahead.find(|left| *left > self.run_time())
     }
 
-    /// The same in milliseconds, to sort by: most of all where there is nothing left to meet.
+    /// The same in milliseconds, to sort by: most of all where there is nothing left to meet, and nothing where it
+    /// has waited for too long.
     pub fn left_ms(&self, cfg: &Settings, day_ms: u64) -> u64 {
+        if self.has_waited(cfg, day_ms) {
+            return 0;
+        }
         self.time_left(cfg, day_ms).map_or(u64::MAX, |left| (left * 1e3) as u64)
     }
 
+    /// Nothing of it runs, and has not for so long that its next task goes before all others of its priority: so
+    /// every job begins, however many are more urgent.
+    pub fn has_waited(&self, cfg: &Settings, day_ms: u64) -> bool {
+        let age = Span::millis(day_ms.saturating_sub(self.ready_ms));
+        self.running.is_empty() && age > cfg.own.skip_limit.times(LONG_WAITS)
+    }
+
     pub fn avoids(&self, machine: &MachineId, now: Time) -> bool {
         self.failed_on.iter().any(|(id, at)| id == machine && now.since(*at) < AVOID)
     }
@@ -133,8 +146,10 @@
                 let used = usage
                     .entry(&job.spec.team)
                     .or_insert_with(|| self.team_usage(&job.spec.team, market.cfg, market.types));
+                let waited = job.has_waited(market.cfg, market.day_ms);
                 // Whose team is at its limit, there is no need to ask each machine about.
-                if !self.quota_allows(job, used, market.cfg) {
+                let allowed = self.quota_allows(job, used, market.cfg);
+                if !allowed && !waited {
                     return None;
                 }
                 let within = market.cfg.teams.get(&job.spec.team).is_some_and(|limits| {
@@ -145,11 +160,19 @@
                 let left = job.left_ms(market.cfg, market.day_ms);
                 // Of what nobody expects by a certain time, the team that uses least goes first.
                 let share = if left == u64::MAX && !within { used.cpus } else { Amount(0) };
-                Some((job.rank(), !within, left, share, &job.order))
+                Some((job.rank(), !within, left, share, &job.order, (allowed, &job.spec.team)))
             })
             .collect();
         line.sort();
-        line.into_iter().map(|(.., (_, id))| id.clone()).collect()
+        // What has waited for too long for its team's limit keeps what is left of it from smaller tasks after it.
+        let mut kept: HashSet<&Name> = HashSet::new();
+        line.retain(|(.., (allowed, team))| {
+            if !allowed {
+                kept.insert(team);
+            }
+            *allowed && !kept.contains(team)
+        });
+        line.into_iter().map(|(.., (_, id), _)| id.clone()).collect()
     }
 
     /// How well a machine suits a replica; the least is the best. One that has its image comes
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -9,8 +9,9 @@
 pub(super) const PLAN_PAUSE: Span = Span::millis(1_000);
 /// The part of the time left that is planned with: estimates are often wrong.
 const USABLE: f64 = 0.85;
-/// How long work that is in no hurry waits for cheap machines before dear ones are rented for it.
-const LONG_WAIT: Span = Span::millis(300_000);
+/// For how many times the skip limit work that is in no hurry waits for cheap machines before dear ones are rented
+/// for it: it has to begin within four minutes, and a machine has to boot.
+const LONG_WAITS: f64 = 2.0;
 
 /// What can be asked for: a type, a zone, and whether spot machines.
 type RentalKind = (Name, Name, bool);
@@ -262,7 +263,9 @@
     fn is_unhurried(&self, job: &super::shard::Job) -> bool {
         let spec = &job.spec;
         let urged = job.urged.is_some_and(|urged| urged.priority < Priority::BestEffort || urged.due_ms.is_some());
-        if urged || job.running.is_empty() && self.now.since(job.waiting_since) > LONG_WAIT {
+        if urged
+            || job.running.is_empty() && self.now.since(job.waiting_since) > self.cfg.own.skip_limit.times(LONG_WAITS)
+        {
             return false;
         }
         let guaranteed = self.cfg.teams.get(&spec.team).is_some_and(|limits| limits.cpus > Amount(0));
--- a/tests/day.rs
+++ b/tests/day.rs
@@ -132,3 +132,30 @@
         assert_kept(&world, seed);
     }
 }
+
+/// Whether a job of a few large tasks begins within four minutes beside a stream of small ones that come before it in
+/// the line, of its own team, which is at its limit all the time, or of one without limits.
+fn large_job_begins(seed: u64, team: &str, cpus: f64) -> bool {
+    let mut world = World::with_one_shard(seed, [1, 0]);
+    world.cloud.sound = true;
+    for id in 0..700 {
+        let at = 2 * SEC + u64::from(id) * SEC / 2;
+        world.add_user(spec(id, JobKind::Array, team, 5, 2.0), 6 * SEC, at, None, false);
+    }
+    let mut large = spec(900, JobKind::Array, team, 2, cpus);
+    large.class = Name::new("large");
+    large.types = Some(vec![Name::new("large")]);
+    world.add_user(large, 5 * SEC, 20 * SEC, None, false);
+    world.run_until(20 * SEC + 240 * SEC);
+    assert_kept(&world, seed);
+    assert!(world.starts > 150, "seed {seed}: hardly anything was started");
+    world.completed.iter().any(|(id, _)| id == "wk-000900")
+}
+
+#[test]
+fn the_largest_jobs_begin_within_four_minutes() {
+    for seed in 0..3 {
+        assert!(large_job_begins(seed, "limited", 14.0), "seed {seed}: beside its own team at its limit");
+        assert!(large_job_begins(seed, "free", 14.0), "seed {seed}: beside small tasks everywhere");
+    }
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -447,7 +447,7 @@
     assert!(first > 50 && 2 * second > first && 2 * first > second, "{first} and {second} tasks in 40 s");
 }
 
-/// Without any cheap machine it gets others in the end.
+/// Without any cheap machine it gets others, soon enough to begin within four minutes.
 #[test]
 fn work_in_no_hurry_is_started_in_the_end() {
     let mut world = World::with_one_shard(71, [20, 0]);
@@ -455,9 +455,9 @@
     let mut job = spec(1, JobKind::Array, "free", 6, 2.0);
     (job.class, job.priority, job.spot) = (Name::new("scan"), Priority::BestEffort, true);
     world.add_user(job, 5 * SEC, 2 * SEC, None, false);
-    world.run_until(250 * SEC);
+    world.run_until(110 * SEC);
     assert_eq!(world.cloud.rented, 0, "ordinary machines were rented at once");
-    world.run_until(400 * SEC);
+    world.run_until(240 * SEC);
     assert_kept(&world, 71);
     assert!(world.users[0].done_at.is_some(), "it was never started");
 }
