--- a/src/coordination/binding.rs
+++ b/src/coordination/binding.rs
@@ -7,7 +7,7 @@
 use crate::model::*;
 use crate::protocol::workers::Command;
 use crate::time::{Span, Time};
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::sync::Arc;
 
 /// After so many times the skip limit a job of which nothing runs has waited for too long.
@@ -69,6 +69,12 @@
         self.running.is_empty() && age > cfg.own.skip_limit.times(LONG_WAITS)
     }
 
+    /// Whether a machine may be kept for its next task: one at a time, and not for ever.
+    fn may_reserve(&self, machine: &MachineId, market: &Market) -> bool {
+        let skip = market.cfg.own.skip_limit;
+        self.reserved.as_ref().is_none_or(|(other, since)| other == machine || market.now.since(*since) > skip)
+    }
+
     pub fn avoids(&self, machine: &MachineId, now: Time) -> bool {
         self.failed_on.iter().any(|(id, at)| id == machine && now.since(*at) < AVOID)
     }
@@ -117,14 +123,14 @@
     pub fn queue(&mut self, market: &Market) -> Arc<[JobId]> {
         if self.line.made.is_none_or(|made| market.now.since(made) >= LINE_AGE) {
             self.step(self.jobs.len());
-            let jobs = self.in_order(market);
+            let (jobs, kept) = self.in_order(market);
             let needs = jobs.iter().filter_map(|id| self.jobs.get(id)).map(|job| job.spec.needs);
             let least = needs.reduce(|least, needs| Resources {
                 cpus: least.cpus.min(needs.cpus),
                 gpus: least.gpus.min(needs.gpus),
                 memory: least.memory.min(needs.memory),
             });
-            self.line = Line { jobs: jobs.into(), least: least.unwrap_or_default(), made: Some(market.now) };
+            self.line = Line { jobs: jobs.into(), least: least.unwrap_or_default(), made: Some(market.now), kept };
         }
         self.line.jobs.clone()
     }
@@ -136,7 +142,7 @@
         jobs
     }
 
-    fn in_order(&self, market: &Market) -> Vec<JobId> {
+    fn in_order(&self, market: &Market) -> (Vec<JobId>, HashMap<Name, (JobId, Resources)>) {
         let mut usage: HashMap<&Name, Resources> = HashMap::new();
         let mut line: Vec<_> = self
             .jobs
@@ -164,15 +170,24 @@
             })
             .collect();
         line.sort();
-        // What has waited for too long for its team's limit keeps what is left of it from smaller tasks after it.
-        let mut kept: HashSet<&Name> = HashSet::new();
-        line.retain(|(.., (allowed, team))| {
-            if !allowed {
-                kept.insert(team);
+        // Of each team the job that has waited longest, and for too long, keeps what it needs of the team's limit from
+        // all others of the team, also from those that go before it.
+        let mut kept: HashMap<Name, (JobId, Resources)> = HashMap::new();
+        let mut waited: Vec<&Job> = line.iter().filter_map(|(.., (_, id), _)| self.jobs.get(id)).collect();
+        waited.retain(|job| job.has_waited(market.cfg, market.day_ms));
+        waited.sort_by_key(|job| &job.order);
+        for job in waited {
+            kept.entry(job.spec.team.clone()).or_insert_with(|| (job.spec.id.clone(), job.spec.needs));
+        }
+        line.retain(|(.., (_, id), (allowed, team))| {
+            let Some(job) = self.jobs.get(id) else { return false };
+            let mut used = usage.get(team).copied().unwrap_or_default();
+            if let Some((_, needs)) = kept.get(*team).filter(|(other, _)| other != id) {
+                used = used.plus(needs);
             }
-            *allowed && !kept.contains(team)
+            *allowed && self.quota_allows(job, &used, market.cfg)
         });
-        line.into_iter().map(|(.., (_, id), _)| id.clone()).collect()
+        (line.into_iter().map(|(.., (_, id), _)| id.clone()).collect(), kept)
     }
 
     /// How well a machine suits a replica; the least is the best. One that has its image comes
@@ -362,6 +377,14 @@
                             // Passed over for too long: this machine is kept until it has room.
                             return commands;
                         }
+                        if job.has_waited(market.cfg, market.day_ms) && job.may_reserve(id, market) {
+                            if let Some(job) = self.jobs.get_mut(job_id)
+                                && job.reserved.as_ref().is_none_or(|(other, _)| other != id)
+                            {
+                                job.reserved = Some((id.clone(), now));
+                            }
+                            return commands;
+                        }
                         passed_over.push(job_id.clone());
                     }
                     break;
@@ -369,7 +392,10 @@
                 if self.better_elsewhere(job, id, market) {
                     break;
                 }
-                let usage = self.team_usage(&job.spec.team, market.cfg, market.types);
+                let mut usage = self.team_usage(&job.spec.team, market.cfg, market.types);
+                if let Some((_, needs)) = self.line.kept.get(&job.spec.team).filter(|(other, _)| other != job_id) {
+                    usage = usage.plus(needs);
+                }
                 if !self.quota_allows(job, &usage, market.cfg) || !self.zone_allows(job, &zone) {
                     break;
                 }
@@ -395,8 +421,9 @@
                     machine.note_image(&image, image_gb, kind.cache_gb);
                 }
                 if let Some(job) = self.jobs.get_mut(job_id) {
-                    job.skipped_since = None;
+                    (job.skipped_since, job.reserved) = (None, None);
                 }
+                self.line.kept.retain(|_, (other, _)| other != job_id);
                 for earlier in passed_over.drain(..) {
                     if let Some(job) = self.jobs.get_mut(&earlier) {
                         job.skipped_since.get_or_insert(now);
--- a/src/coordination/shard.rs
+++ b/src/coordination/shard.rs
@@ -68,6 +68,8 @@
     /// Since when its first pending task has been passed over while others were started.
     pub skipped_since: Option<Time>,
     pub waiting_since: Time,
+    /// The machine that is kept for its next task since it has waited for too long.
+    pub reserved: Option<(MachineId, Time)>,
     /// Run times seen, to judge the owner's estimate by.
     pub ran: (f64, u32),
     pub runs: TaskRuns,
@@ -345,6 +347,8 @@
     /// The least that any of them needs.
     pub least: Resources,
     pub made: Option<Time>,
+    /// What is left of teams' limits for a job of each that has waited for too long.
+    pub kept: HashMap<Name, (JobId, Resources)>,
 }
 
 /// What became of an attempt that is over.
@@ -517,6 +521,7 @@
             rest_until: Time::ZERO,
             skipped_since: None,
             waiting_since: self.recovery.claimed_at(),
+            reserved: None,
             ran: (0.0, 0),
         };
         if job.is_complete() {
