Answer polls from the records where the holder that was asked is late or can't say

A holder that is heard but answers late, or has no fresh state, left its users with 503 for as long; the records say what any node without a holder to ask would say.

--- a/src/coordination/controller.rs
+++ b/src/coordination/controller.rs
@@ -182,6 +182,8 @@
 pub(super) enum Passed {
     /// If the other node can't take it, this one may be able to.
     Submission(Box<JobSpec>),
+    /// If the other node can't say, the records may.
+    Poll(JobId),
     Question(JobId),
     Report,
 }
@@ -587,7 +589,8 @@
                     let asker = Asker::Local(forwarded.ask);
                     match forwarded.what {
                         Passed::Submission(spec) if reply.status == 503 => self.submit_from_afar(asker, *spec),
-                        Passed::Question(job) if reply.status == 404 => {
+                        Passed::Poll(job) if reply.status == 503 => self.look_up(asker, job, users::Then::Poll),
+                        Passed::Question(job) | Passed::Poll(job) if reply.status == 404 => {
                             self.job_homes.remove(&job);
                             self.reply(asker, reply);
                         }
@@ -610,6 +613,7 @@
             let asker = Asker::Local(forwarded.ask);
             match forwarded.what {
                 Passed::Submission(spec) => self.submit_from_afar(asker, *spec),
+                Passed::Poll(job) => self.look_up(asker, job, users::Then::Poll),
                 Passed::Question(_) => self.reply(asker, Reply::busy("the job's node does not answer")),
                 Passed::Report => self.reply(asker, worker_protocol::elsewhere(None)),
             }
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -170,9 +170,8 @@
                     PeerAsk::Submit(spec) | PeerAsk::SubmitWaiting(spec) => {
                         (Passed::Submission(spec.clone()), SUBMIT_TIMEOUT)
                     }
-                    PeerAsk::Poll(job) | PeerAsk::Cancel(job) | PeerAsk::Forecast(job) => {
-                        (Passed::Question(job.clone()), FORWARD_TIMEOUT)
-                    }
+                    PeerAsk::Poll(job) => (Passed::Poll(job.clone()), FORWARD_TIMEOUT),
+                    PeerAsk::Cancel(job) | PeerAsk::Forecast(job) => (Passed::Question(job.clone()), FORWARD_TIMEOUT),
                     PeerAsk::Report(_) => (Passed::Report, FORWARD_TIMEOUT),
                 };
                 self.forwarded.insert(number, Forwarded { ask: id, until: self.now + timeout, what });
