--- a/crates/model/src/model.rs
+++ b/crates/model/src/model.rs
@@ -143,6 +143,16 @@
     BestEffort,
 }
 
+impl Priority {
+    pub fn next_lower(self) -> Priority {
+        match self {
+            Priority::Production => Priority::High,
+            Priority::High => Priority::Normal,
+            Priority::Normal | Priority::BestEffort => Priority::BestEffort,
+        }
+    }
+}
+
 /// A job as its user described it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct JobSpec {
--- a/src/coordination/binding.rs
+++ b/src/coordination/binding.rs
@@ -66,7 +66,8 @@
     /// every job begins, however many are more urgent.
     pub fn has_waited(&self, cfg: &Settings, day_ms: u64) -> bool {
         let age = Span::millis(day_ms.saturating_sub(self.ready_ms));
-        self.running.is_empty() && age > cfg.own.skip_limit.times(LONG_WAITS)
+        // One that fails everywhere has nobody to blame but itself.
+        self.running.is_empty() && !self.at_fault && age > cfg.own.skip_limit.times(LONG_WAITS)
     }
 
     /// Whether a machine may be kept for its next task: one at a time, and not for ever.
@@ -238,6 +239,16 @@
         })
     }
 
+    /// What services take of a machine: it does not become free.
+    fn kept_by_services(&self, id: &MachineId) -> Resources {
+        let attempts = self.machines.get(id).into_iter().flat_map(|machine| machine.attempts.values());
+        let services = attempts.filter(|attempt| {
+            let job = self.jobs.get(&attempt.task.job);
+            !attempt.is_over() && job.is_some_and(|job| job.spec.kind == JobKind::Service)
+        });
+        services.fold(Resources::default(), |sum, attempt| sum.plus(&attempt.needs))
+    }
+
     /// Picks tasks to be stopped so that waiting tasks of higher priority get room: on the machine
     /// that suits best, and there the youngest tasks, so that little work is lost.
     pub fn preempt(&mut self, market: &Market) -> Vec<(MachineId, Vec<AttemptNo>)> {
@@ -328,7 +339,7 @@
             .filter_map(|(no, attempt)| {
                 let other = self.jobs.get(&attempt.task.job)?;
                 let ran = attempt.running_since.map_or(0.0, |since| now.since(since).as_secs());
-                (other.priority() > job.spec.priority).then_some((ran, *no, attempt.needs))
+                (other.rank() > job.spec.priority).then_some((ran, *no, attempt.needs))
             })
             .collect();
         lower.sort_by(|a, b| a.0.total_cmp(&b.0));
@@ -371,13 +382,14 @@
                     break;
                 }
                 if !job.spec.needs.fits_in(&room) {
-                    if job.spec.needs.fits_in(&kind.room) {
+                    if job.spec.needs.fits_in(&kind.room.minus(&self.kept_by_services(id))) {
                         let since = job.skipped_since;
                         if since.is_some_and(|since| now.since(since) > market.cfg.own.skip_limit) {
                             // Passed over for too long: this machine is kept until it has room.
                             return commands;
                         }
-                        if job.has_waited(market.cfg, market.day_ms) && job.may_reserve(id, market) {
+                        let waited = job.has_waited(market.cfg, market.day_ms) && job.may_reserve(id, market);
+                        if waited && self.zone_allows(job, &zone) {
                             if let Some(job) = self.jobs.get_mut(job_id)
                                 && job.reserved.as_ref().is_none_or(|(other, _)| other != id)
                             {
--- a/src/coordination/shard.rs
+++ b/src/coordination/shard.rs
@@ -86,10 +86,13 @@
         self.urged.map_or(self.spec.priority, |urged| urged.priority.min(self.spec.priority))
     }
 
-    /// Its place among the priorities: what has one only for others' sake comes after what has it by its own
-    /// words, or whole arrays that are due soon would go before services, which never are.
-    pub fn rank(&self) -> (Priority, bool) {
-        (self.priority(), self.priority() != self.spec.priority)
+    /// Its place in the line: what has a priority only for others' sake comes one below it, or whole arrays that are
+    /// due soon would go before services, which never are, and keep everything of the next priority waiting.
+    pub fn rank(&self) -> Priority {
+        match self.priority() {
+            same if same == self.spec.priority => same,
+            lifted => lifted.next_lower(),
+        }
     }
 
     pub fn is_live(&self) -> bool {
