Stop what a holder was asked to cancel before it is recorded

Cause: a holder's cancellation can be recorded without its answer coming back. Another controller reads the end and tells it; the state service is then down for all, and the holder, which goes on for its right and its grace, renewed the leases of machines with tasks that it had not stopped.

Change: an attempt of a job whose user has asked to cancel is stopped in the next answer to its machine, whether or not that is recorded and whether or not this node has the right; what such tasks do is of use to nobody.

The simulated state service can now leave a node without answers, execute transactions late, and answer slowly.

--- a/src/coordination/binding.rs
+++ b/src/coordination/binding.rs
@@ -469,7 +469,7 @@
                 if !kept {
                     commands.push(Command::Forget { task, attempt: *no });
                 }
-            } else if let Some(grace) = attempt.stop {
+            } else if let Some(grace) = attempt.stop_within(jobs) {
                 let saving = attempt.state == Some(crate::protocol::workers::TaskState::Saving);
                 if !(saving && grace > 0.0) {
                     commands.push(Command::Stop { task, attempt: *no, grace_s: grace });
--- a/src/coordination/shard.rs
+++ b/src/coordination/shard.rs
@@ -175,6 +175,16 @@
         matches!(self.state, Some(TaskState::Exited(_)))
     }
 
+    /// Whether it is to be stopped, and how long it may save.
+    ///
+    /// What its user has asked to cancel is stopped whether or not that is recorded: the commit may have no answer,
+    /// another controller may have read the end and told it, and from then on the time runs, however long this one
+    /// goes on without the state service.
+    pub fn stop_within(&self, jobs: &HashMap<JobId, Job>) -> Option<f64> {
+        let cancelled = jobs.get(&self.task.job).is_some_and(|job| job.ending == Some(Final::Cancelled));
+        if cancelled { Some(0.0) } else { self.stop }
+    }
+
     /// Its job is not known, and so neither is its team.
     pub fn is_stranger(&self) -> bool {
         self.team.as_str().is_empty()
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -277,21 +277,24 @@
         if let Some(reply) = self.ended_view(&id) {
             return self.reply(asker, reply);
         }
-        if !self.decides(shard_id) {
-            return self.reply(asker, Reply::busy("no right to"));
-        }
-        let now = self.now;
-        let Some(shard) = self.shards.get_mut(&shard_id) else {
+        let (now, decides) = (self.now, self.decides(shard_id));
+        let Some(shard) = self.shards.get_mut(&shard_id).filter(|shard| shard.is_active()) else {
             return self.reply(asker, Reply::busy("not held here"));
         };
+        // Nothing that its tasks still do is of use to anybody: they are stopped, by whatever right.
+        if let Some(job) = shard.jobs.get_mut(&id)
+            && job.ending.is_none()
+        {
+            job.ending = Some(Final::Cancelled);
+        }
+        if !decides {
+            return self.reply(asker, Reply::busy("no right to"));
+        }
         let waits = shard.overlap.as_ref().is_some_and(|overlap| !overlap.may_record_cancelled(now));
         if shard.pipelines.contains(&id) {
             return self.cancel_waiting(asker, shard_id, id, waits);
         }
         let Some(job) = shard.jobs.get_mut(&id) else { return self.look_up(asker, id, Then::Cancel) };
-        if job.ending.is_none() {
-            job.ending = Some(Final::Cancelled);
-        }
         if waits {
             return self.reply(asker, Reply::busy("its former holder may not know yet that it was replaced"));
         }
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -90,6 +90,7 @@
     AskArrives { node: usize, origin: Origin, ask: Ask },
     ReplyArrives { origin: Origin, node: usize, reply: Reply },
     StateArrives { node: usize, life: u64, call: CallNo, request: StateCall },
+    LateWrite { node: usize, request: StateCall },
     CloudArrives { node: usize, life: u64, call: CallNo, request: CloudCall },
     WorkerArrives { node: usize, life: u64, call: CallNo, machine: u32, request: WorkerCall },
     ProbeArrives { node: usize, life: u64, call: CallNo, to: usize },
@@ -431,6 +432,11 @@
         Some(at)
     }
 
+    fn is_late_write(&mut self) -> bool {
+        let share = self.state.late_writes.filter(|(until, _)| self.now < *until);
+        share.is_some_and(|(_, share)| self.rng.random_bool(share))
+    }
+
     pub fn crash(&mut self, node: usize, down: u64) {
         self.note(|| format!("node {node} crashes"));
         self.nodes[node].controller = None;
@@ -604,6 +610,16 @@
                 Origin::User(user, try_no) => self.user_answered(user, try_no, &reply),
                 Origin::Worker(machine, report) => self.report_answered(machine, report, node, &reply),
             },
+            Happening::StateArrives { node, request: request @ StateCall::Commit { .. }, .. }
+                if self.is_late_write() =>
+            {
+                let at = self.now + self.rng.random_range(2 * SEC..12 * SEC);
+                self.at(at, Happening::LateWrite { node, request });
+            }
+            Happening::LateWrite { node, request } => {
+                let answer = self.state.handle(self.now, node, &request, self.mutation);
+                self.state.written_late += u64::from(matches!(answer, Ok(StateAnswer::Committed(_))));
+            }
             Happening::StateArrives { node, life, call, request } => {
                 let answer = self.state.handle(self.now, node, &request, self.mutation);
                 if let (Ok(StateAnswer::Committed(_)), StateCall::Commit { changes, .. }) = (&answer, &request) {
@@ -614,7 +630,16 @@
                     let gone = |name: &&str| !self.workers.contains_key(&workers::number(&MachineId::new(name)));
                     self.ghosts += puts.filter(gone).count();
                 }
-                self.answer(node, life, call, Host::State, Event::State { call, answer });
+                if self.state.unanswered.is_none_or(|(to, until)| to != node || self.now >= until) {
+                    let event = Event::State { call, answer };
+                    match self.state.slow.filter(|(until, _)| self.now < *until) {
+                        Some((_, most)) => {
+                            let at = self.now + self.rng.random_range(0..most);
+                            self.at(at, Happening::AnswerArrives { node, life, call, event });
+                        }
+                        None => self.answer(node, life, call, Host::State, event),
+                    }
+                }
             }
             Happening::CloudArrives { node, life, call, request } => {
                 let answer = self.cloud_handle(&request);
--- a/tests/world/state.rs
+++ b/tests/world/state.rs
@@ -37,6 +37,14 @@
     pub told: u64,
     pub outage_until: u64,
     pub refused_until: [u64; 3],
+    /// Until then what that node sends is executed, and no answer comes back.
+    pub unanswered: Option<(usize, u64)>,
+    /// Until then that share of the transactions gets no answer and is executed 2 to 12 s later.
+    pub late_writes: Option<(u64, f64)>,
+    /// Until then every answer takes that much longer, at the most.
+    pub slow: Option<(u64, u64)>,
+    /// How many transactions were executed late, and succeeded.
+    pub written_late: u64,
     /// The limits that hold, the present ones if none: value bytes, changes a transaction, changes a second.
     pub limits: Option<[usize; 3]>,
     /// What was refused for its size: the same again and again is a fault of its own.
