Tell and decide nothing while it is not known whether a shard was given up

Cause: a holder that gives its shard up, since it reaches nobody or for another node, went on telling users from memory until the answer came. If that is lost, another holds the shard within 0.5 s, does not wait for anybody, and records ends; the former one called such jobs running for up to 1.2 s more. Workers' leases were renewed by the whole right.

Change: from when the removal of its key is sent until it is known to be refused, a shard is not decided for nor told of, and leases are renewed for the grace from then on only.

--- a/src/coordination/controller.rs
+++ b/src/coordination/controller.rs
@@ -357,7 +357,7 @@
         self.now = clock.steady;
         self.day_ms = clock.day_ms;
         let (entitled, now) = (self.entitled(), self.now);
-        self.shards.values_mut().for_each(|shard| shard.note_right(entitled && shard.right.decides(now)));
+        self.shards.values_mut().for_each(|shard| shard.note_right(entitled && shard.decides(now)));
         match event {
             Event::Ask { id, ask } => self.asked(id, ask),
             Event::State { call, answer } => {
--- a/src/coordination/members.rs
+++ b/src/coordination/members.rs
@@ -337,8 +337,9 @@
 
     /// Gives a shard up to the node named, or to whoever takes it.
     pub(super) fn release(&mut self, id: ShardId, to: Option<NodeLabel>) {
-        let Some(claim) = self.shards.get(&id).map(|shard| shard.claim) else { return };
-        let key = records::shard_key(id);
+        let Some(shard) = self.shards.get_mut(&id) else { return };
+        shard.giving_up = Some(self.now);
+        let (claim, key) = (shard.claim, records::shard_key(id));
         let request = StateCall::Commit { conditions: vec![(key.clone(), claim)], changes: vec![Change::Delete(key)] };
         self.call_state(request, StateWork::Release { shard: id, claim, to });
     }
@@ -350,9 +351,7 @@
         to: Option<NodeLabel>,
         answer: Result<StateAnswer, CallError>,
     ) {
-        if self.shard_under(id, claim).is_none() {
-            return;
-        }
+        let Some(shard) = self.shard_under(id, claim) else { return };
         match answer {
             // An unanswered release may be executed at any later time, so the shard is given up
             // at once. If it was not executed, the key is seen as our own and claimed back by
@@ -364,7 +363,8 @@
                     self.out.push(Action::Send { to, message: PeerMessage::Released { shard: id } });
                 }
             }
-            _ => {}
+            // Refused, and so not executed.
+            _ => shard.giving_up = None,
         }
     }
 
--- a/src/coordination/shard.rs
+++ b/src/coordination/shard.rs
@@ -306,6 +306,8 @@
     pub recovery: Recovery,
     /// Until when this node acts for it.
     pub right: Right,
+    /// When it was asked to be given up, as long as it is not known what became of that.
+    pub giving_up: Option<Time>,
     /// A former holder may not know yet that it was replaced.
     pub overlap: Option<Overlap>,
     pub checklist: Checklist,
@@ -378,6 +380,7 @@
             id,
             claim,
             right: Right::claimed(recovery.claimed_at(), None),
+            giving_up: None,
             overlap: None,
             checklist: Checklist::new(recovery.claimed_at()),
             read_at: None,
@@ -414,6 +417,14 @@
         self.recovery.is_loaded()
     }
 
+    /// Whether the claim lets this node decide, as far as it can know.
+    ///
+    /// Not once it has asked for its key to be removed: the answer may be lost, another may hold the shard at once,
+    /// and does not wait for whoever gave it up.
+    pub fn decides(&self, now: Time) -> bool {
+        self.giving_up.is_none() && self.right.decides(now)
+    }
+
     /// The records have to be read again from the beginning.
     pub fn restart_loading(&mut self) {
         self.retry_load = false;
--- a/src/coordination/standby.rs
+++ b/src/coordination/standby.rs
@@ -137,7 +137,7 @@
 impl Controller {
     /// What this node was given by the state service stands, and so does the claim on the shard.
     pub(super) fn decides(&self, shard: ShardId) -> bool {
-        self.entitled() && self.shards.get(&shard).is_some_and(|shard| shard.right.decides(self.now))
+        self.entitled() && self.shards.get(&shard).is_some_and(|shard| shard.decides(self.now))
     }
 
     /// The same for what users are told from memory.
@@ -148,8 +148,8 @@
     /// Workers' leases are renewed for a grace after the end of the right, see `grace`.
     pub(super) fn may_renew(&self, shard: ShardId) -> bool {
         let (Some(hold), Some(shard)) = (&self.hold, self.shards.get(&shard)) else { return false };
-        let until = shard.right.decides_until().map_or(hold.right_until, |until| until.min(hold.right_until));
-        self.now < until + self.grace()
+        let ends = [shard.right.decides_until(), shard.giving_up].into_iter().flatten();
+        self.now < ends.fold(hold.right_until, Time::min) + self.grace()
     }
 
     /// Notes what an answer of the state service says of this node and of its claims. Gives back what is not to be
--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -4,9 +4,10 @@
 mod world;
 
 use crowstall::model::*;
+use crowstall::protocol::users::Ask;
 use rand::Rng;
 use world::users::spec;
-use world::{Cut, Host, MS, Mutation, SEC, World};
+use world::{Cut, Host, MS, SEC, World};
 
 fn holder(world: &World) -> usize {
     world.holder(0).expect("somebody holds the shard")
@@ -66,3 +67,54 @@
     }
     assert!(told >= 12, "only {told} users were told that their job is cancelled before the outage");
 }
+
+/// A holder that reaches neither workers nor controllers gives its shard up, and the answer to that is lost; short jobs
+/// end elsewhere at once. Gives back how often it told something older of a job whose end is recorded, and how many
+/// ends were recorded meanwhile.
+fn told_after_giving_up(seed: u64) -> (usize, usize) {
+    let mut world = World::with_one_shard(seed, [12, 12]);
+    world.add_services();
+    for id in 100..400 {
+        let at = 5 * SEC + u64::from(id - 100) * 150 * MS;
+        world.add_user(spec(id, JobKind::Array, "free", 2, 1.0), SEC, at, None, false);
+    }
+    world.run_until(25 * SEC);
+    let (node, now) = (holder(&world), world.now);
+    for to in peers(node).chain([Host::Machines]) {
+        world.cuts.push(Cut { a: Host::Node(node), b: Some(to), until: now + 12 * SEC, hold: false });
+    }
+    // Just before it does so it still reaches the state service.
+    let lost = now + world.rng.random_range(4500 * MS..5 * SEC);
+    world.run_until(lost);
+    world.state.unanswered = Some((node, lost + 8 * SEC));
+    while world.holder(0) == Some(node) && world.now < lost + 3 * SEC {
+        let next = world.now + 10 * MS;
+        world.run_until(next);
+    }
+    assert_ne!(world.holder(0), Some(node), "seed {seed}: nothing was given up");
+    let jobs: Vec<JobId> = world.users.iter().map(|user| user.spec.id.clone()).collect();
+    let is_over = |world: &World, job: &JobId| world.state.get(&format!("end/{job}")).is_some();
+    let open: Vec<JobId> = jobs.into_iter().filter(|job| !is_over(&world, job)).collect();
+    let (mut older, end) = (0, world.now + 4 * SEC);
+    while world.now < end {
+        let next = world.now + 20 * MS;
+        world.run_until(next);
+        for job in open.iter().filter(|job| is_over(&world, job)).cloned().collect::<Vec<_>>() {
+            let reply = world.ask(node, Ask::Poll(job));
+            older += usize::from(reply.is_some_and(|reply| reply.status == 200));
+        }
+    }
+    assert!(world.broken.is_empty(), "seed {seed}: {:?}", world.broken);
+    (older, open.iter().filter(|job| is_over(&world, job)).count())
+}
+
+#[test]
+fn a_holder_that_gives_its_shard_up_tells_nothing_more_before_it_knows_what_became_of_that() {
+    let (mut older, mut ends) = (0, 0);
+    for seed in 0..8 {
+        let (told, recorded) = told_after_giving_up(seed);
+        (older, ends) = (older + told, ends + recorded);
+    }
+    assert_eq!(older, 0, "older answers of the one that gave up");
+    assert!(ends >= 20, "only {ends} ends were recorded");
+}
