Add the terms of a cancellation up in one place, and refuse settings that can't keep it

How long a task of a cancelled job can be on a machine after its user was told is now a sum in crates/standby (cancellation.rs): the grace of a former holder, the lease given last, and 2 s for workers that notice late. Seeded test over 20,000 settings with both clocks at their drift. The grace is shortened by the drift of the clock it is read on.

Where cancel_s is not longer than lease_s by more than 2 s, no rule could keep the promise for a machine that is not reached; the grace was silently 0. Now that ends the program at start with both fields named.

--- a/crates/standby/src/lib.rs
+++ b/crates/standby/src/lib.rs
@@ -6,11 +6,13 @@
 //! - [`suspicion`]: several signs together say that a holder is lost; nobody is replaced on one sign alone;
 //! - [`right`]: until when a holder may decide and tell, counted from when it last *asked* whether its claim stands;
 //! - [`overlap`]: what whoever replaced a holder holds back until that one's right has surely ended;
+//! - [`cancellation`]: how long a task of a cancelled job can still be on a machine.
 //! - [`checklist`]: what is checked before the first decision.
 //!
 //! Nothing here does any input or output or reads a clock. The table of promises, with what protects each of
 //! them meanwhile, is in `docs/standby.md`; `tests/model.rs` goes through all orders of events on a small scale.
 
+pub mod cancellation;
 pub mod checklist;
 pub mod follower;
 pub mod members;
@@ -18,6 +20,7 @@
 pub mod right;
 pub mod suspicion;
 
+pub use cancellation::{Cancellation, Giver};
 pub use checklist::{Check, Checklist, Facts};
 pub use follower::{Ask, Followed, Follower};
 pub use members::{Holding, Members, Peer, Word};
--- a/crates/standby/tests/suspicion.rs
+++ b/crates/standby/tests/suspicion.rs
@@ -4,7 +4,7 @@
 use crowstall_model::model::{Name, NodeLabel, Revision, ShardId};
 use crowstall_model::time::{Span, Time};
 use crowstall_standby::suspicion::{Own, Sign, Signs, Step, Suspicion};
-use crowstall_standby::{Check, Checklist, Facts, Members, Overlap, Right, Terms, Word};
+use crowstall_standby::{Cancellation, Check, Checklist, Facts, Giver, Members, Overlap, Right, Terms, Word};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::collections::BTreeMap;
@@ -227,3 +227,28 @@
     let times: Vec<(Check, Option<Span>)> = list.times().collect();
     assert!(times.contains(&(Check::Claim, Some(TICK))) && times.contains(&(Check::Catalog, None)));
 }
+
+/// Whatever the settings, a former holder that gives its last lease by the end of its grace leaves nothing on a machine
+/// for longer than a cancellation may take, with both clocks at the ends of their drift and the worker a second late.
+#[test]
+fn the_terms_of_a_cancellation_add_up_to_no_more_than_it_may_take() {
+    let mut rng = SmallRng::seed_from_u64(31);
+    let mut kept = 0;
+    for _ in 0..20_000 {
+        let lease = Span::millis(rng.random_range(500..60_000));
+        let within = Span::millis(rng.random_range(500..120_000));
+        let cancellation = Cancellation { lease, within };
+        if !cancellation.can_be_kept() {
+            assert!(within < lease + Span::millis(2100) + lease.times(0.01), "{cancellation:?}");
+            continue;
+        }
+        kept += 1;
+        // The right has ended just when the user is told; the former holder's clock and the worker's are slow.
+        let slow = 1.0 / 0.9995;
+        let given = cancellation.grace().as_secs() * slow;
+        let gone = given + lease.as_secs() * slow + 1.0;
+        assert!(gone <= within.as_secs(), "{cancellation:?}: {gone}");
+        assert!(Giver::ALL.into_iter().all(|giver| cancellation.gone_within(giver) <= within), "{cancellation:?}");
+    }
+    assert!(kept > 5000, "only {kept} settings were looked at");
+}
--- a/src/config.rs
+++ b/src/config.rs
@@ -2,6 +2,7 @@
 
 use crate::model::{Amount, Name, NodeIx, NodeLabel};
 use crate::time::Span;
+use crowstall_standby::Cancellation;
 use serde::Deserialize;
 use sha2::{Digest, Sha256};
 use std::collections::BTreeMap;
@@ -189,7 +190,7 @@
     pub start_within: BTreeMap<Name, Span>,
     pub report: Span,
     pub lease: Span,
-    pub cancel: Span,
+    pub cancellation: Cancellation,
     pub state_rps: f64,
     pub state_writes: f64,
     /// The same before the limits to come are in force.
@@ -436,6 +437,13 @@
         ] {
             positive(name, value)?;
         }
+        let lease = Span::secs(facts.workers.lease_s);
+        let cancellation = Cancellation { lease, within: Span::secs(facts.workers.cancel_s) };
+        if !cancellation.can_be_kept() {
+            // A task on a machine that is not reached is gone with its lease only.
+            let what = "must be longer than facts.workers.lease_s by more than 2 s";
+            return Err(ConfigError(format!("facts.workers.cancel_s: {what}")));
+        }
         if !(facts.cloud.list_lag_s.is_finite() && facts.cloud.list_lag_s >= 0.0) {
             return Err(ConfigError("facts.cloud.list_lag_s: not a number from 0 on".into()));
         }
@@ -518,8 +526,6 @@
             }
         }
         finish_within.values_mut().for_each(|times| times.sort());
-        let lease = Span::secs(facts.workers.lease_s);
-        let cancel = Span::secs(facts.workers.cancel_s);
         let mut own = Properties::defaults(lease);
         for (key, value) in properties {
             own.set(key, value.trim())?;
@@ -550,7 +556,7 @@
             late_factors: Arc::new(late_factors),
             report: Span::secs(facts.workers.report_s),
             lease,
-            cancel,
+            cancellation,
             state_rps: stricter(facts.state.rps, next.and_then(|next| next.rps)),
             state_writes: stricter(facts.state.write_rps, next.and_then(|next| next.write_rps)),
             state_writes_now: facts.state.write_rps,
--- a/src/coordination/controller.rs
+++ b/src/coordination/controller.rs
@@ -402,12 +402,9 @@
         self.hold.as_ref().is_some_and(|hold| self.now < hold.right_until)
     }
 
-    /// How long after the end of the right the workers' leases are still renewed. A takeover can
-    /// follow right on the end of the right, and a job can be cancelled right after that: its
-    /// tasks must be gone within `cancel` all the same: the lease given last has to have run out
-    /// by then, with some time to spare for the worker to notice.
+    /// How long after the end of the right the workers' leases are still renewed.
     pub(super) fn grace(&self) -> Span {
-        self.cfg.cancel - self.cfg.lease.stretched() - Span::millis(2000)
+        self.cfg.cancellation.grace()
     }
 
     pub(super) fn reply(&mut self, asker: Asker, reply: Reply) {
--- a/tests/protocol.rs
+++ b/tests/protocol.rs
@@ -317,6 +317,7 @@
     assert!(!settings.teams[&Name::new("t")].is_limited(), "0 is no limit");
     let broken = [
         ("lease_s = 10.0", "lease_s = -1.0", "lease_s"),
+        ("cancel_s = 30.0", "cancel_s = 12.0", "facts.workers.cancel_s: must be longer than facts.workers.lease_s"),
         ("lease_s = 10.0", "lease_s = \"ten\"", "line"),
         ("txn_ops = 8", "txn_ops = 1", "txn_ops"),
         ("front = \"127.0.0.1:1\"", "front = \"nowhere\"", "line 4"),
