--- a/crates/standby/tests/model.rs
+++ b/crates/standby/tests/model.rs
@@ -15,6 +15,8 @@
 /// How long a task may live on after its user was told that the job is cancelled.
 const CANCEL: u8 = GRACE + LEASE;
 const END: u8 = 6;
+/// For the stories that have more states, and whose guards are missed earlier.
+const STORY_END: u8 = 5;
 
 /// What protects the rules. Each is taken out once, to see that the search finds what it is for.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -34,6 +36,24 @@
     ProofWaits,
     /// Nothing is started that may run on a machine that has not answered.
     HiddenWaits,
+    /// What its user has asked the holder to cancel is stopped before that is known to be recorded.
+    AskedStops,
+    /// A holder that gives its shard up decides and tells nothing more from then on.
+    GivingUpSilent,
+    /// It renews leases by its grace only, from then on.
+    GivingUpRenews,
+}
+
+/// What the old holder does beside going on: one of these at a time, or there would be too many states.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Story {
+    Plain,
+    /// A user whom only it serves asks it to cancel the job. What it writes may be executed at any later time, and it
+    /// gets no answer.
+    Asked(bool),
+    /// It asks for its key to be removed, at that time, and gets no answer. Then anybody may claim the shard, and waits
+    /// for nobody.
+    GivesUp(Option<u8>),
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -86,6 +106,9 @@
     old: Book,
     new: Book,
     told: Option<(Record, u8)>,
+    story: Story,
+    /// The key was free when it was claimed.
+    free: bool,
     broken: bool,
 }
 
@@ -94,7 +117,7 @@
 
 impl State {
     /// A task that runs, or one that only the new holder will accept.
-    fn first(accepted: bool) -> State {
+    fn first(accepted: bool, story: Story) -> State {
         let book = if accepted { Book::On(0) } else { Book::Unknown };
         State {
             now: 0,
@@ -107,20 +130,33 @@
             old: book,
             new: Book::Unknown,
             told: None,
+            story,
+            free: false,
             broken: false,
         }
     }
 
-    fn decides(&self) -> bool {
-        !self.let_go && self.now < self.confirmed + DECIDES
+    fn gave_up(&self) -> Option<u8> {
+        if let Story::GivesUp(at) = self.story { at } else { None }
+    }
+
+    fn is_asked(&self) -> bool {
+        self.story == Story::Asked(true)
+    }
+
+    fn decides(&self, out: Guard) -> bool {
+        let silent = self.gave_up().is_some() && out != Guard::GivingUpSilent;
+        !self.let_go && !silent && self.now < self.confirmed + DECIDES
     }
 
-    fn renews(&self) -> bool {
-        !self.let_go && self.now < self.confirmed + DECIDES + GRACE
+    fn renews(&self, out: Guard) -> bool {
+        let right = self.confirmed + DECIDES;
+        let right = self.gave_up().filter(|_| out != Guard::GivingUpRenews).map_or(right, |at| right.min(at));
+        !self.let_go && self.now < right + GRACE
     }
 
-    fn tells(&self) -> bool {
-        !self.let_go && self.now < self.confirmed + TELLS
+    fn tells(&self, out: Guard) -> bool {
+        self.decides(out) && self.now < self.confirmed + TELLS
     }
 
     /// The claim is seen to stand at that time or later.
@@ -165,7 +201,7 @@
             return Vec::new();
         }
         let mut next = Vec::new();
-        if self.now < END {
+        if self.now < if self.story == Story::Plain { END } else { STORY_END } {
             next.push(self.tick());
         }
         self.questions(&mut next);
@@ -176,6 +212,9 @@
             // Whatever the reason; the claim's version is the only condition.
             let new = if self.record == Record::Live { Book::Hidden } else { Book::Unknown };
             next.push(State { fenced: Some(self.now), new, ..*self });
+            if self.gave_up().is_some() {
+                next.push(State { fenced: Some(self.now), new, free: true, ..*self });
+            }
         }
         for (at, machine) in self.machines.iter().enumerate() {
             if machine.runs {
@@ -232,18 +271,21 @@
         for (at, machine) in self.machines.iter().enumerate() {
             let on = at as u8;
             // A report: the lease is renewed, an end is read, a task is started, in one answer.
-            if machine.there && !machine.newer && self.renews() {
+            if machine.there && !machine.newer && self.renews(out) {
                 let mut state = *self;
                 (state.machines[at].lease_end, state.machines[at].answered[0]) = (now + LEASE, now);
                 if self.old == Book::On(on) && machine.exited {
                     state.old = Book::Done;
                 }
+                if self.is_asked() && out != Guard::AskedStops {
+                    state.machines[at].runs = false;
+                }
                 next.push(state);
-                if self.old == Book::Pending {
+                if self.old == Book::Pending && !self.is_asked() {
                     next.push(State { old: Book::On(on), ..state.start(at) });
                 }
             }
-            if self.old == Book::On(on) && self.decides() {
+            if self.old == Book::On(on) && self.decides(out) {
                 if now >= machine.answered[0] + LEASE {
                     next.push(State { old: Book::Lost(machine.answered[0] + LEASE), ..*self });
                 }
@@ -254,9 +296,17 @@
                 }
             }
         }
-        if !self.decides() {
+        if self.is_asked() && self.record == Record::Live && self.fenced.is_none() {
+            next.push(State { record: Record::Cancelled, ..*self });
+        }
+        if !self.decides(out) {
             return;
         }
+        match self.story {
+            Story::Asked(false) if self.old != Book::Done => next.push(State { story: Story::Asked(true), ..*self }),
+            Story::GivesUp(None) => next.push(State { story: Story::GivesUp(Some(now)), ..*self }),
+            _ => {}
+        }
         match self.old {
             Book::Lost(at) => {
                 let free = out == Guard::LeaseConfirmed && self.machines.iter().all(|machine| machine.there)
@@ -274,7 +324,7 @@
             }
             _ => {}
         }
-        if self.tells() && matches!(self.old, Book::Pending | Book::On(_) | Book::Lost(_)) {
+        if self.tells(out) && !self.is_asked() && matches!(self.old, Book::Pending | Book::On(_) | Book::Lost(_)) {
             next.push(self.tell(Record::Live));
         }
     }
@@ -331,10 +381,10 @@
             next.push(State { record: Record::Live, new: Book::Pending, ..*self });
         }
         if self.record == Record::Live {
-            if self.new == Book::Done && (now >= fenced + TELLS || out == Guard::DoneWaits) {
+            if self.new == Book::Done && (self.free || now >= fenced + TELLS || out == Guard::DoneWaits) {
                 next.push(State { record: Record::Done, ..*self });
             }
-            if now >= fenced + DECIDES || out == Guard::CancelWaits {
+            if self.free || now >= fenced + DECIDES || out == Guard::CancelWaits {
                 // No task of it is started from here on, and those that are known are stopped.
                 next.push(State { record: Record::Cancelled, new: Book::Done, ..*self });
             }
@@ -363,9 +413,12 @@
 #[test]
 fn no_order_of_events_breaks_a_rule() {
     let mut all = 0;
-    for accepted in [true, false] {
-        let (count, broken) = search(State::first(accepted), Guard::None);
-        assert_eq!(broken, None, "a job {} before", if accepted { "accepted" } else { "not known" });
+    for (accepted, story) in
+        [(true, Story::Plain), (false, Story::Plain), (true, Story::Asked(false)), (true, Story::GivesUp(None))]
+    {
+        let (count, broken) = search(State::first(accepted, story), Guard::None);
+        assert_eq!(broken, None, "{story:?}, a job {} before", if accepted { "accepted" } else { "not known" });
+        println!("{story:?}: {count} states");
         all += count;
     }
     println!("{all} states");
@@ -375,16 +428,19 @@
 
 #[test]
 fn every_guard_is_missed_when_it_is_taken_out() {
-    for (out, accepted) in [
-        (Guard::DoneWaits, true),
-        (Guard::CancelWaits, true),
-        (Guard::LeaseConfirmed, true),
-        (Guard::DeletionConfirmed, true),
-        (Guard::RecordConfirmed, false),
-        (Guard::ProofWaits, true),
-        (Guard::HiddenWaits, true),
+    for (out, accepted, story) in [
+        (Guard::DoneWaits, true, Story::Plain),
+        (Guard::CancelWaits, true, Story::Plain),
+        (Guard::LeaseConfirmed, true, Story::Plain),
+        (Guard::DeletionConfirmed, true, Story::Plain),
+        (Guard::RecordConfirmed, false, Story::Plain),
+        (Guard::ProofWaits, true, Story::Plain),
+        (Guard::HiddenWaits, true, Story::Plain),
+        (Guard::AskedStops, true, Story::Asked(false)),
+        (Guard::GivingUpSilent, true, Story::GivesUp(None)),
+        (Guard::GivingUpRenews, true, Story::GivesUp(None)),
     ] {
-        let (count, broken) = search(State::first(accepted), out);
+        let (count, broken) = search(State::first(accepted, story), out);
         println!("{out:?}: found after {count} states");
         assert!(broken.is_some(), "nothing breaks without {out:?}");
     }
