Tell how long cancelled tasks and unanswered jobs took in the meetings

The checker keeps the longest time from when a user was told of a cancellation to the last task gone.

--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -221,12 +221,16 @@
 
 #[test]
 fn the_rules_hold_when_two_troubles_meet() {
+    let mut longest = (0, 0);
     for seed in seeds(0..40) {
         let one = ALL[seed as usize % 8];
         let what = [one, ALL[(seed / 8) as usize % 8]];
         let what = if seed / 8 % 9 == 8 { &what[..1] } else { &what[..] };
-        assert_well(&met(seed, what), seed, what);
+        let world = met(seed, what);
+        assert_well(&world, seed, what);
+        longest = (longest.0.max(world.longest_cancelled), longest.1.max(world.longest_unanswered));
     }
+    println!("a cancelled task was there for {} ms, a job unanswered for {} ms", longest.0 / MS, longest.1 / MS);
 }
 
 /// Services everywhere, each of whose users asks to cancel it at some moment around 31 s.
@@ -271,12 +275,14 @@
 
 #[test]
 fn what_a_holder_was_asked_to_cancel_is_gone_in_time_though_it_never_learns_that_it_was_recorded() {
-    let mut told = 0;
+    let (mut told, mut longest) = (0, 0);
     for seed in 0..24 {
         let world = cancelled_without_an_answer(seed, seed % 2 == 1);
         assert!(world.broken.is_empty(), "seed {seed}: {:?}", world.broken);
+        longest = longest.max(world.longest_cancelled);
         told += world.users.iter().filter(|user| user.cancelled_at.is_some_and(|at| at < 40 * SEC)).count();
     }
+    println!("a task was there for {} ms at the most", longest / MS);
     assert!(told >= 12, "only {told} users were told that their job is cancelled before the outage");
 }
 
--- a/tests/world/workers.rs
+++ b/tests/world/workers.rs
@@ -429,18 +429,21 @@
 
     fn check_machines(&mut self) {
         let mut used = 0;
-        let mut late = None;
+        let (mut late, mut longest) = (None, 0);
         for worker in self.workers.values() {
             for ((id, _), _) in worker.tasks.iter().filter(|(_, task)| is_on(task.state)) {
                 let Some(user) = self.users.iter().find(|user| user.spec.id == id.job) else { continue };
                 if user.spec.team.as_str() == "limited" {
                     used += user.spec.needs.cpus.0;
                 }
-                if user.cancelled_at.is_some_and(|at| self.now > at + CANCEL) {
+                let since = user.cancelled_at.map_or(0, |at| self.now - at);
+                longest = longest.max(since);
+                if since > CANCEL {
                     late = Some(id.clone());
                 }
             }
         }
+        self.longest_cancelled = self.longest_cancelled.max(longest);
         if used > Amount::new(16.0).0 {
             self.fail("quota", format!("the limited team uses {} cpus", used / 1_000_000));
         }
