--- a/tests/world/troubles.rs
+++ b/tests/world/troubles.rs
@@ -12,7 +12,7 @@
     let machine = (!machines.is_empty()).then(|| machines[world.rng.random_range(0..machines.len())]);
     let until = now + length;
     let cut = |a: Host, b: Option<Host>| Cut { a, b, until, hold };
-    match world.rng.random_range(0..27) {
+    match world.rng.random_range(0..31) {
         0 | 1 if world.is_up(node) => world.crash(node, 3 * SEC + length / 5),
         2 => (0..3)
             .filter(|node| world.is_up(*node))
@@ -110,6 +110,19 @@
                 world.restart_machine(*machine, down);
             }
         }
+        26 => {
+            let share = world.rng.random_range(0.1..0.5);
+            world.state.late_writes = Some((until, share));
+        }
+        27 => world.state.slow = Some((until, world.rng.random_range(200 * MS..2 * SEC))),
+        28 => world.state.unanswered = Some((node, now + length / 4)),
+        29 => {
+            // The state service refuses one node, and then everybody.
+            let alone = world.rng.random_range(300 * MS..5 * SEC);
+            world.state.refused_until[node] = now + alone + SEC;
+            world.run_until(now + alone);
+            world.state.start_outage(now + alone, length);
+        }
         _ => world.storm_until = until,
     }
     world.cuts.retain(|cut| cut.until > now);
