--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -221,7 +221,7 @@
 
 #[test]
 fn the_rules_hold_when_two_troubles_meet() {
-    let mut longest = (0, 0);
+    let (mut longest, mut confirmed) = ((0, 0), Vec::new());
     for seed in seeds(0..40) {
         let one = ALL[seed as usize % 8];
         let what = [one, ALL[(seed / 8) as usize % 8]];
@@ -229,7 +229,11 @@
         let world = met(seed, what);
         assert_well(&world, seed, what);
         longest = (longest.0.max(world.longest_cancelled), longest.1.max(world.longest_unanswered));
+        confirmed.extend(world.confirmed_after);
     }
+    confirmed.sort();
+    let at = |share: f64| confirmed.get((confirmed.len() as f64 * share) as usize).map_or(0, |after| after / MS);
+    println!("{} cancellations: median {} ms, 95% {} ms, most {} ms", confirmed.len(), at(0.5), at(0.95), at(0.9999));
     println!("a cancelled task was there for {} ms, a job unanswered for {} ms", longest.0 / MS, longest.1 / MS);
 }
 
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -139,6 +139,8 @@
     pub calm_from: Option<u64>,
     /// The longest that a user with a live job was without one since then.
     pub longest_unanswered: u64,
+    /// How long it took from when a user asked to cancel until it was told that this is so.
+    pub confirmed_after: Vec<u64>,
     /// The longest that a task was on a machine after its user was told that the job is cancelled.
     pub longest_cancelled: u64,
     /// Users ask eight times as often.
@@ -259,6 +261,7 @@
             orders_lost: 0,
             calm_from: None,
             longest_unanswered: 0,
+            confirmed_after: Vec::new(),
             longest_cancelled: 0,
             storm_until: 0,
             broken: Vec::new(),
--- a/tests/world/users.rs
+++ b/tests/world/users.rs
@@ -15,6 +15,8 @@
     pub cancelled_at: Option<u64>,
     pub done_at: Option<u64>,
     pub asked_to_cancel: bool,
+    /// When it first asked to cancel.
+    asked_at: u64,
     /// Jobs that have to be accepted before it is submitted, and done before it starts.
     pub after: Vec<usize>,
     /// It is submitted only once those are over.
@@ -100,6 +102,7 @@
             cancelled_at: None,
             done_at: None,
             asked_to_cancel: false,
+            asked_at: 0,
             after: Vec::new(),
             late: false,
             given_up: false,
@@ -210,7 +213,9 @@
             // A retry that comes late, also after the job is over.
             (Asking::Submit, Ask::Submit(Ok(user.spec.clone())), 2 * SEC)
         } else if !over && user.cancel_after.is_some_and(|after| now > user.submit_at + after) {
-            user.asked_to_cancel = true;
+            if !user.asked_to_cancel {
+                (user.asked_to_cancel, user.asked_at) = (true, now);
+            }
             (Asking::Cancel, Ask::Cancel(id), SEC)
         } else if roll >= 97 {
             (Asking::Stranger, Ask::Poll(JobId::new(&format!("wk-9{at:05}"))), SEC)
@@ -271,7 +276,11 @@
                 if !user.asked_to_cancel && self.withdrawn_before(at).is_none() {
                     return self.fail("went_back", format!("{id} is called cancelled"));
                 }
-                self.users[at].cancelled_at.get_or_insert(now);
+                let user = &mut self.users[at];
+                if user.cancelled_at.is_none() && user.asked_to_cancel {
+                    self.confirmed_after.push(now - user.asked_at);
+                }
+                user.cancelled_at.get_or_insert(now);
             }
             _ => {
                 if let Some((need, told)) = self.cancelled_before(at)
