Share the tests' ways to part a host and to count older answers, and look at late writes

The count of late transactions that succeeded was read by nobody; the meetings of two troubles now need some.

--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -4,7 +4,6 @@
 mod world;
 
 use crowstall::model::*;
-use crowstall::protocol::users::Ask;
 use rand::Rng;
 use world::users::spec;
 use world::{Cut, Host, MS, Mutation, SEC, World};
@@ -13,10 +12,6 @@
     world.holder(0).expect("somebody holds the shard")
 }
 
-fn peers(node: usize) -> impl Iterator<Item = Host> + Clone {
-    (0..3).filter(move |other| *other != node).map(Host::Node)
-}
-
 #[derive(Clone, Copy, Debug)]
 enum Meeting {
     /// Jobs whose tasks end far apart, across a change of hands.
@@ -120,12 +115,11 @@
         }
         Island => {
             let until = now + world.rng.random_range(2 * SEC..60 * SEC);
-            let to = peers(node).chain([Host::State]);
-            world.cuts.extend(to.map(|to| Cut { a: Host::Node(node), b: Some(to), until, hold }));
+            world.part(Host::Node(node), node, until, hold);
+            world.cuts.push(Cut { a: Host::Node(node), b: Some(Host::State), until, hold });
             if world.rng.random_bool(0.5) {
                 for number in some_machines(world, 2) {
-                    let to = peers(node);
-                    world.cuts.extend(to.map(|to| Cut { a: Host::Machine(number), b: Some(to), until, hold }));
+                    world.part(Host::Machine(number), node, until, hold);
                 }
             }
         }
@@ -176,8 +170,7 @@
             let alone = world.rng.random_range(500 * MS..8 * SEC);
             world.state.refused_until[node] = now + alone + SEC;
             if hold {
-                let to = peers(node);
-                world.cuts.extend(to.map(|to| Cut { a: Host::Node(node), b: Some(to), until: now + 40 * SEC, hold }));
+                world.part(Host::Node(node), node, now + 40 * SEC, hold);
             }
             world.run_until(now + alone);
             let down = world.rng.random_range(10 * SEC..45 * SEC);
@@ -221,8 +214,9 @@
 
 #[test]
 fn the_rules_hold_when_two_troubles_meet() {
-    let (mut longest, mut confirmed) = ((0, 0), Vec::new());
-    for seed in seeds(0..40) {
+    let (mut longest, mut confirmed, mut written_late) = ((0, 0), Vec::new(), 0);
+    let played = seeds(0..40);
+    for seed in played.clone() {
         let one = ALL[seed as usize % 8];
         let what = [one, ALL[(seed / 8) as usize % 8]];
         let what = if seed / 8 % 9 == 8 { &what[..1] } else { &what[..] };
@@ -230,7 +224,9 @@
         assert_well(&world, seed, what);
         longest = (longest.0.max(world.longest_cancelled), longest.1.max(world.longest_unanswered));
         confirmed.extend(world.confirmed_after);
+        written_late += world.state.written_late;
     }
+    assert!(written_late > 0 || played.end - played.start < 40, "no late transaction changed anything");
     confirmed.sort();
     let at = |share: f64| confirmed.get((confirmed.len() as f64 * share) as usize).map_or(0, |after| after / MS);
     println!("{} cancellations: median {} ms, 95% {} ms, most {} ms", confirmed.len(), at(0.5), at(0.95), at(0.9999));
@@ -259,16 +255,12 @@
     let down = world.rng.random_range(SEC..if parted { 4 * SEC } else { 1600 * MS });
     world.state.unanswered = Some((node, now + down));
     if parted {
-        let to = peers(node);
-        world.cuts.extend(to.map(|to| Cut { a: Host::Node(node), b: Some(to), until: now + 70 * SEC, hold: false }));
+        let until = now + 70 * SEC;
+        world.part(Host::Node(node), node, until, false);
         // Workers reach the one that they report to.
         let numbers: Vec<u32> = world.workers.keys().copied().collect();
-        for number in numbers {
-            let to = peers(node);
-            let cut = |to| Cut { a: Host::Machine(number), b: Some(to), until: now + 70 * SEC, hold: false };
-            world.cuts.extend(to.map(cut));
-        }
-        world.cloud.keeps_until = now + 70 * SEC;
+        numbers.into_iter().for_each(|number| world.part(Host::Machine(number), node, until, false));
+        world.cloud.keeps_until = until;
     }
     world.run_until(now + down);
     let begin = world.now;
@@ -302,9 +294,8 @@
     }
     world.run_until(25 * SEC);
     let (node, now) = (holder(&world), world.now);
-    for to in peers(node).chain([Host::Machines]) {
-        world.cuts.push(Cut { a: Host::Node(node), b: Some(to), until: now + 12 * SEC, hold: false });
-    }
+    world.part(Host::Node(node), node, now + 12 * SEC, false);
+    world.cuts.push(Cut { a: Host::Node(node), b: Some(Host::Machines), until: now + 12 * SEC, hold: false });
     // Just before it does so it still reaches the state service.
     let lost = now + world.rng.random_range(4500 * MS..5 * SEC);
     world.run_until(lost);
@@ -314,20 +305,9 @@
         world.run_until(next);
     }
     assert_ne!(world.holder(0), Some(node), "seed {seed}: nothing was given up");
-    let jobs: Vec<JobId> = world.users.iter().map(|user| user.spec.id.clone()).collect();
-    let is_over = |world: &World, job: &JobId| world.state.get(&format!("end/{job}")).is_some();
-    let open: Vec<JobId> = jobs.into_iter().filter(|job| !is_over(&world, job)).collect();
-    let (mut older, end) = (0, world.now + 4 * SEC);
-    while world.now < end {
-        let next = world.now + 20 * MS;
-        world.run_until(next);
-        for job in open.iter().filter(|job| is_over(&world, job)).cloned().collect::<Vec<_>>() {
-            let reply = world.ask(node, Ask::Poll(job));
-            older += usize::from(reply.is_some_and(|reply| reply.status == 200));
-        }
-    }
+    let told = world.older_answers(node, 4 * SEC);
     assert!(world.broken.is_empty(), "seed {seed}: {:?}", world.broken);
-    (older, open.iter().filter(|job| is_over(&world, job)).count())
+    told
 }
 
 #[test]
--- a/tests/standby.rs
+++ b/tests/standby.rs
@@ -8,7 +8,7 @@
 use rand::Rng;
 use world::state::Watching;
 use world::users::spec;
-use world::{Cut, Host, MS, Mutation, SEC, World};
+use world::{Cut, Host, MS, Mutation, SEC, World, peers};
 
 const ENABLED: &str = "standby.enabled";
 
@@ -16,10 +16,6 @@
     world.holder(0).expect("somebody holds the shard")
 }
 
-fn peers(node: usize) -> impl Iterator<Item = Host> + Clone {
-    (0..3).filter(move |other| *other != node).map(Host::Node)
-}
-
 /// A fleet at work: services, arrays of a limited and a free team, and jobs that end or are cancelled all the time.
 fn at_work(mut world: World) -> World {
     world.add_services();
@@ -343,20 +339,7 @@
     let (node, now) = (holder(&world), world.now);
     let to = peers(node).chain([Host::State]);
     world.cuts.extend(to.map(|to| Cut { a: Host::Node(node), b: Some(to), until: now + 20 * SEC, hold: true }));
-    let jobs: Vec<JobId> = world.users.iter().map(|user| user.spec.id.clone()).collect();
-    let is_over = |world: &World, job: &JobId| world.state.get(&format!("end/{job}")).is_some();
-    let open: Vec<JobId> = jobs.into_iter().filter(|job| !is_over(&world, job)).collect();
-    let mut older = 0;
-    while world.now < now + 10 * SEC {
-        let next = world.now + 20 * MS;
-        world.run_until(next);
-        for job in open.iter().filter(|job| is_over(&world, job)).cloned().collect::<Vec<_>>() {
-            let reply = world.ask(node, Ask::Poll(job));
-            older += usize::from(reply.is_some_and(|reply| reply.status == 200));
-        }
-    }
-    let ends = open.iter().filter(|job| is_over(&world, job)).count();
-    (older, ends)
+    world.older_answers(node, 10 * SEC)
 }
 
 #[test]
@@ -377,9 +360,7 @@
     let cut = |a: Host, b: Host| Cut { a, b: Some(b), until, hold };
     world.cuts.extend(outside.map(|to| cut(Host::Node(node), to)));
     let numbers: Vec<u32> = world.workers.keys().copied().filter(|number| number % 2 == 0).collect();
-    for number in numbers {
-        world.cuts.extend(peers(node).map(|to| cut(Host::Machine(number), to)));
-    }
+    numbers.into_iter().for_each(|number| world.part(Host::Machine(number), node, until, hold));
 }
 
 /// The holder goes on with half of the machines, and of all its requests to the state service only those
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -77,6 +77,11 @@
     pub hold: bool,
 }
 
+/// All controllers but that one.
+pub fn peers(node: usize) -> impl Iterator<Item = Host> + Clone {
+    (0..3).filter(move |other| *other != node).map(Host::Node)
+}
+
 /// Who asked a node something.
 #[derive(Clone, Debug)]
 pub enum Origin {
@@ -443,6 +448,11 @@
         share.is_some_and(|(_, share)| self.rng.random_bool(share))
     }
 
+    /// Parts a host from all controllers but that one.
+    pub fn part(&mut self, host: Host, node: usize, until: u64, hold: bool) {
+        self.cuts.extend(peers(node).map(|to| Cut { a: host, b: Some(to), until, hold }));
+    }
+
     pub fn crash(&mut self, node: usize, down: u64) {
         self.note(|| format!("node {node} crashes"));
         self.nodes[node].controller = None;
--- a/tests/world/users.rs
+++ b/tests/world/users.rs
@@ -84,6 +84,24 @@
         left.map(|user| &user.spec.id).collect()
     }
 
+    /// For so long a node is asked about every job whose end is recorded from now on: how often it tells something
+    /// older, and how many ends are recorded.
+    pub fn older_answers(&mut self, node: usize, length: u64) -> (usize, usize) {
+        let is_over = |world: &World, job: &JobId| world.state.get(&format!("end/{job}")).is_some();
+        let jobs: Vec<JobId> = self.users.iter().map(|user| user.spec.id.clone()).collect();
+        let open: Vec<JobId> = jobs.into_iter().filter(|job| !is_over(self, job)).collect();
+        let (mut older, end) = (0, self.now + length);
+        while self.now < end {
+            let next = self.now + 20 * MS;
+            self.run_until(next);
+            for job in open.iter().filter(|job| is_over(self, job)).cloned().collect::<Vec<_>>() {
+                let reply = self.ask(node, Ask::Poll(job));
+                older += usize::from(reply.is_some_and(|reply| reply.status == 200));
+            }
+        }
+        (older, open.iter().filter(|job| is_over(self, job)).count())
+    }
+
     /// How many tasks of all users' jobs are running.
     pub fn running(&self) -> usize {
         self.users.iter().map(|user| self.replicas(&user.spec.id)).sum()
