--- /dev/null
+++ b/tests/meetings/scripted.rs
@@ -0,0 +1,117 @@
+//! Meetings whose worst order the walk does not bring about by itself.
+
+use crate::walk::holder;
+use crate::world::users::spec;
+use crate::world::{Cut, Host, MS, SEC, World};
+use crowstall::model::*;
+use rand::Rng;
+
+/// Services everywhere, each of whose users asks to cancel it at some moment around 31 s.
+fn about_to_be_cancelled(seed: u64, more: &str) -> World {
+    let mut world = World::with_one_shard_and(seed, [12, 12], more);
+    for id in 0..24 {
+        let cancel = 28 * SEC + u64::from(id) * 100 * MS;
+        world.add_user(spec(id, JobKind::Service, "free", 2, 2.0), u64::MAX / 4, 2 * SEC, Some(cancel), false);
+    }
+    world.run_until(30 * SEC);
+    world
+}
+
+/// The holder's cancellations are recorded but it gets no answer, other controllers read them and tell, and then the
+/// state service is down for all for longer than a cancellation may take, while workers keep reporting to the
+/// holder. `parted`: from the other controllers too, which replace it just before.
+fn cancelled_without_an_answer(seed: u64, parted: bool) -> World {
+    let mut world = about_to_be_cancelled(seed, "claim.life.ms = 8000");
+    let node = holder(&world);
+    let now = world.now + world.rng.random_range(0..600 * MS);
+    world.run_until(now);
+    let down = world.rng.random_range(SEC..if parted { 4 * SEC } else { 1600 * MS });
+    world.state.unanswered = Some((node, now + down));
+    if parted {
+        let until = now + 70 * SEC;
+        world.part(Host::Node(node), node, until, false);
+        // Workers reach the one that they report to.
+        let numbers: Vec<u32> = world.workers.keys().copied().collect();
+        numbers.into_iter().for_each(|number| world.part(Host::Machine(number), node, until, false));
+        world.cloud.keeps_until = until;
+    }
+    world.run_until(now + down);
+    let begin = world.now;
+    world.state.start_outage(begin, 60 * SEC);
+    world.run_until(now + 90 * SEC);
+    world
+}
+
+#[test]
+fn what_a_holder_was_asked_to_cancel_is_gone_in_time_though_it_never_learns_that_it_was_recorded() {
+    let (mut told, mut longest) = (0, 0);
+    for seed in 0..24 {
+        let world = cancelled_without_an_answer(seed, seed % 2 == 1);
+        assert!(world.broken.is_empty(), "seed {seed}: {:?}", world.broken);
+        longest = longest.max(world.longest_cancelled);
+        told += world.users.iter().filter(|user| user.cancelled_at.is_some_and(|at| at < 40 * SEC)).count();
+    }
+    println!("a task was there for {} ms at the most", longest / MS);
+    assert!(told >= 12, "only {told} users were told that their job is cancelled before the outage");
+}
+
+/// A holder that reaches neither workers nor controllers gives its shard up, and the answer to that is lost; short jobs
+/// end elsewhere at once. Gives back how often it told something older of a job whose end is recorded, and how many
+/// ends were recorded meanwhile.
+fn told_after_giving_up(seed: u64) -> (usize, usize) {
+    let mut world = World::with_one_shard(seed, [12, 12]);
+    world.add_services();
+    for id in 100..400 {
+        let at = 5 * SEC + u64::from(id - 100) * 150 * MS;
+        world.add_user(spec(id, JobKind::Array, "free", 2, 1.0), SEC, at, None, false);
+    }
+    world.run_until(25 * SEC);
+    let (node, now) = (holder(&world), world.now);
+    world.part(Host::Node(node), node, now + 12 * SEC, false);
+    world.cuts.push(Cut { a: Host::Node(node), b: Some(Host::Machines), until: now + 12 * SEC, hold: false });
+    // Just before it does so it still reaches the state service.
+    let lost = now + world.rng.random_range(4500 * MS..5 * SEC);
+    world.run_until(lost);
+    world.state.unanswered = Some((node, lost + 8 * SEC));
+    while world.holder(0) == Some(node) && world.now < lost + 3 * SEC {
+        let next = world.now + 10 * MS;
+        world.run_until(next);
+    }
+    assert_ne!(world.holder(0), Some(node), "seed {seed}: nothing was given up");
+    let told = world.older_answers(node, 4 * SEC);
+    assert!(world.broken.is_empty(), "seed {seed}: {:?}", world.broken);
+    told
+}
+
+#[test]
+fn a_holder_that_gives_its_shard_up_tells_nothing_more_before_it_knows_what_became_of_that() {
+    let (mut older, mut ends) = (0, 0);
+    for seed in 0..8 {
+        let (told, recorded) = told_after_giving_up(seed);
+        (older, ends) = (older + told, ends + recorded);
+    }
+    assert_eq!(older, 0, "older answers of the one that gave up");
+    assert!(ends >= 20, "only {ends} ends were recorded");
+}
+
+/// Workers that do not reach the holder and come by way of other controllers keep their leases in an outage for as long
+/// as all others do.
+#[test]
+fn reports_by_way_of_others_are_answered_in_an_outage_like_all() {
+    for seed in 0..4 {
+        let mut world = World::with_one_shard(seed, [12, 12]);
+        world.cloud.sound = true;
+        world.add_services();
+        world.run_until(30 * SEC);
+        let node = holder(&world);
+        let until = world.now + 60 * SEC;
+        world.cuts.push(Cut { a: Host::Node(node), b: Some(Host::Machines), until, hold: false });
+        world.run_until(45 * SEC);
+        assert_eq!(world.running(), 28, "seed {seed}: replicas beside the cut");
+        world.state.start_outage(45 * SEC, 22 * SEC);
+        world.run_until(67 * SEC);
+        assert_eq!(world.running(), 28, "seed {seed}: replicas at the end of the outage");
+        world.run_until(100 * SEC);
+        assert!(world.broken.is_empty(), "seed {seed}: {:?}", world.broken);
+    }
+}
--- a/tests/world/cloud.rs
+++ b/tests/world/cloud.rs
@@ -24,6 +24,8 @@
     pub boots: Option<[Option<f64>; 2]>,
     pub rented: u64,
     pub deleted: u64,
+    /// There are machines with GPUs as well.
+    pub gpus: bool,
 }
 
 pub fn types() -> Vec<MachineType> {
@@ -37,13 +39,19 @@
         boot: Span::millis(5000),
         zones: vec![Name::new("east"), Name::new("west")],
     };
-    vec![kind("small", 4.0, 0.25, 0.1), kind("large", 16.0, 0.9, 0.45)]
+    let mut gpus = kind("gpus", 16.0, 3.0, 1.5);
+    gpus.room.gpus = Amount::new(4.0);
+    vec![kind("small", 4.0, 0.25, 0.1), kind("large", 16.0, 0.9, 0.45), gpus]
 }
 
 impl World {
     pub fn cloud_handle(&mut self, call: &CloudCall) -> Result<CloudAnswer, CallError> {
         Ok(match call {
-            CloudCall::Catalog => CloudAnswer::Catalog(types()),
+            CloudCall::Catalog => {
+                let mut types = types();
+                types.retain(|kind| self.cloud.gpus || kind.room.gpus.0 == 0);
+                CloudAnswer::Catalog(types)
+            }
             CloudCall::Rent { request, kind, zone, spot, count } => {
                 if let Some(machines) = self.cloud.done.get(request) {
                     return Ok(CloudAnswer::Rented(machines.iter().map(|n| workers::name(*n)).collect()));
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)]
 
 pub mod cloud;
+pub mod odd;
 pub mod state;
 pub mod troubles;
 pub mod users;
@@ -38,6 +39,10 @@
     LongGrace,
     /// Controllers do not know the teams' limits.
     NoLimits,
+    /// They know that of one team only.
+    OneLimit,
+    /// They know what cpus each team may use, and not how many GPUs.
+    NoGpuLimits,
     /// Workers leave out every third task in their reports.
     PartialReports,
     /// Workers never kill tasks when their lease has run out.
@@ -54,6 +59,14 @@
     NeedsUnsaid,
     /// Holders lose the records of cancelled jobs: what these take along is never found out.
     CancelsForgotten,
+    /// Records of live jobs can still be read for a second after they were removed.
+    OldReads,
+    /// Workers drop the starts of some jobs' tasks.
+    RunsIgnored,
+    /// Machines that hang go on with their old lease whenever they go on.
+    HangsForgiven,
+    /// Submissions that are not valid are mended instead of refused.
+    AnythingGoes,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -87,6 +100,8 @@
 pub enum Origin {
     User(usize, u64),
     Worker(u32, u64),
+    /// Somebody whose submission can't be taken, and whether that is for its form.
+    Odd(JobId, bool),
 }
 
 #[derive(Debug)]
@@ -105,6 +120,8 @@
     Restart { node: usize },
     WorkersStep,
     UserStep { user: usize },
+    CloseLook { user: usize, node: usize, asking: users::Asking },
+    OddRequest { node: usize },
     HoldsEnd,
 }
 
@@ -132,10 +149,17 @@
     pub state: state::State,
     pub cloud: cloud::Cloud,
     pub workers: BTreeMap<u32, workers::Worker>,
+    /// What each team may use, cpus and GPUs, where there is a limit.
+    pub limits: BTreeMap<Name, (Option<Amount>, Option<Amount>)>,
     pub users: Vec<users::User>,
     pub cuts: Vec<Cut>,
     /// Until then reports come once more, that much later at the most and to any node.
     pub copies: Option<(u64, u64)>,
+    /// Until then copies of some reports are kept, and reach every controller around the next claim.
+    pub copies_for_next: u64,
+    kept_copies: Vec<(Origin, Ask)>,
+    /// Until then packets between that host and all others take that much longer, at the most.
+    pub slow_links: Vec<(Host, u64, u64)>,
     /// Machines that were recorded and were not there any more.
     pub ghosts: usize,
     /// Starts that were sent to machines that do not hear them.
@@ -148,6 +172,21 @@
     pub confirmed_after: Vec<u64>,
     /// The longest that a task was on a machine after its user was told that the job is cancelled.
     pub longest_cancelled: u64,
+    /// Starts after a user was told that the job is cancelled: those that the machine had been told of before that,
+    /// and those that it was told of later.
+    pub started_cancelled: [u64; 2],
+    /// Until then users ask all nodes right after they were told something, and how often they did, and were put
+    /// off while the state service answered everybody.
+    pub close_looks_until: u64,
+    pub close_looks: (u64, u64),
+    /// Until then that share of the jobs that end is called off at that moment, or asked about.
+    pub cancel_at_end: Option<(u64, f64)>,
+    /// How many submissions that can't be taken were answered, and refused.
+    pub odd: (u64, u64),
+    odd_sent: u32,
+    /// Since when a job's task has waited beside room, by user, and the longest that any did.
+    waits_beside_room: HashMap<usize, u64>,
+    pub longest_beside_room: u64,
     /// Users ask eight times as often.
     pub storm_until: u64,
     pub broken: Vec<String>,
@@ -259,15 +298,27 @@
             state: state::State::default(),
             cloud: cloud::Cloud::default(),
             workers: BTreeMap::new(),
+            limits: BTreeMap::from([(Name::new("limited"), (Some(Amount::new(16.0)), None))]),
             users: Vec::new(),
             cuts: Vec::new(),
             copies: None,
+            copies_for_next: 0,
+            kept_copies: Vec::new(),
+            slow_links: Vec::new(),
             ghosts: 0,
             orders_lost: 0,
             calm_from: None,
             longest_unanswered: 0,
             confirmed_after: Vec::new(),
             longest_cancelled: 0,
+            started_cancelled: [0; 2],
+            close_looks_until: 0,
+            close_looks: (0, 0),
+            cancel_at_end: None,
+            odd: (0, 0),
+            odd_sent: 0,
+            waits_beside_room: HashMap::new(),
+            longest_beside_room: 0,
             storm_until: 0,
             broken: Vec::new(),
             trace: Vec::new(),
@@ -298,11 +349,31 @@
         world
     }
 
+    /// All teams have limits, of GPUs too, and there are machines with GPUs.
+    pub fn limit_all_teams(&mut self) {
+        self.cloud.gpus = true;
+        for settings in &mut self.settings {
+            let limits = [("free", 96.0, 6.0), ("guest", 12.0, 2.0)];
+            for (team, cpus, gpus) in limits {
+                let team = settings.teams.get_mut(&Name::new(team)).expect("it is one of the settings' teams");
+                team.cpus_max = Some(Amount::new(cpus)).filter(|_| self.mutation != Mutation::OneLimit);
+                team.gpus_max = Some(Amount::new(gpus)).filter(|_| self.mutation != Mutation::NoGpuLimits);
+            }
+        }
+        self.limits.insert(Name::new("free"), (Some(Amount::new(96.0)), Some(Amount::new(6.0))));
+        self.limits.insert(Name::new("guest"), (Some(Amount::new(12.0)), Some(Amount::new(2.0))));
+    }
+
     /// With all teams in one shard, as is the default, and so many machines of each type in each
     /// zone, ordinary and spot ones.
     pub fn with_one_shard(seed: u64, stock: [usize; 2]) -> World {
-        let mut world = World::new(seed, Mutation::None);
-        world.settings = (0..3).map(|node| settings(node, Mutation::None, true, "")).collect();
+        World::with_one_shard_and(seed, stock, "")
+    }
+
+    /// The same with a guard taken away and more of the operators' properties.
+    pub fn with_mutation_and(seed: u64, mutation: Mutation, stock: [usize; 2], more: &str) -> World {
+        let mut world = World::new(seed, mutation);
+        world.settings = (0..3).map(|node| settings(node, mutation, true, more)).collect();
         world.cloud.stock = stock;
         world
     }
@@ -314,9 +385,7 @@
 
     /// The same with more of the operators' properties.
     pub fn with_one_shard_and(seed: u64, stock: [usize; 2], more: &str) -> World {
-        let mut world = World::with_one_shard(seed, stock);
-        world.settings = (0..3).map(|node| settings(node, Mutation::None, true, more)).collect();
-        world
+        World::with_mutation_and(seed, Mutation::None, stock, more)
     }
 
     /// With the operators' forecast file, planning by it, and snapshots every few seconds.
@@ -430,6 +499,12 @@
         if self.rng.random_bool(0.003) {
             at += self.rng.random_range(100 * MS..600 * MS);
         }
+        for slow in 0..self.slow_links.len() {
+            let (host, until, most) = self.slow_links[slow];
+            if self.now < until && (host == from || host == to) {
+                at += self.rng.random_range(0..most);
+            }
+        }
         for cut in &self.cuts {
             let is = |one: Host, host: Host| one == host || one == Host::Machines && matches!(host, Host::Machine(_));
             let between = |x: Host, y: Host| is(cut.a, x) && cut.b.is_none_or(|b| is(b, y));
@@ -448,6 +523,25 @@
         share.is_some_and(|(_, share)| self.rng.random_bool(share))
     }
 
+    fn is_answer_lost(&mut self, request: &StateCall) -> bool {
+        let share = self.state.answers_lost.filter(|(until, _)| self.now < *until);
+        let is_transaction = matches!(request, StateCall::Commit { .. });
+        share.is_some_and(|(_, share)| is_transaction && self.rng.random_bool(share))
+    }
+
+    /// Somebody has claimed a shard: what was kept of old reports reaches every controller before it knows that,
+    /// while it reads its records, and as it begins to decide.
+    fn deliver_kept_copies(&mut self) {
+        for (origin, ask) in std::mem::take(&mut self.kept_copies) {
+            for node in 0..3 {
+                let edges = [5 * MS, 60 * MS, 400 * MS, 3 * SEC];
+                let most = edges[self.rng.random_range(0..edges.len())];
+                let at = self.now + self.rng.random_range(0..most);
+                self.at(at, Happening::AskArrives { node, origin: origin.clone(), ask: ask.clone() });
+            }
+        }
+    }
+
     /// Parts a host from all controllers but that one.
     pub fn part(&mut self, host: Host, node: usize, until: u64, hold: bool) {
         self.cuts.extend(peers(node).map(|to| Cut { a: host, b: Some(to), until, hold }));
@@ -507,7 +601,7 @@
             Action::Reply { id, reply } => {
                 let Some(origin) = self.nodes[node].asks.remove(&id.0) else { return };
                 let to = match origin {
-                    Origin::User(..) => Host::Users,
+                    Origin::User(..) | Origin::Odd(..) => Host::Users,
                     Origin::Worker(machine, _) => Host::Machine(machine),
                 };
                 if let Some(at) = self.way(me, to) {
@@ -614,6 +708,13 @@
                     let to = self.rng.random_range(0..3usize);
                     self.at(at, Happening::AskArrives { node: to, origin: origin.clone(), ask: ask.clone() });
                 }
+                if self.now < self.copies_for_next
+                    && matches!(origin, Origin::Worker(..))
+                    && self.kept_copies.len() < 300
+                    && self.rng.random_bool(0.3)
+                {
+                    self.kept_copies.push((origin.clone(), ask.clone()));
+                }
                 if self.is_up(node) {
                     self.reports += u64::from(matches!(origin, Origin::Worker(..)));
                     self.next += 1;
@@ -625,6 +726,7 @@
             Happening::ReplyArrives { origin, node, reply } => match origin {
                 Origin::User(user, try_no) => self.user_answered(user, try_no, &reply),
                 Origin::Worker(machine, report) => self.report_answered(machine, report, node, &reply),
+                Origin::Odd(job, malformed) => self.odd_answered(&job, malformed, &reply),
             },
             Happening::StateArrives { node, request: request @ StateCall::Commit { .. }, .. }
                 if self.is_late_write() =>
@@ -633,11 +735,18 @@
                 self.at(at, Happening::LateWrite { node, request });
             }
             Happening::LateWrite { node, request } => {
+                // What is withheld by now it came before.
+                let withheld = self.state.withheld.take();
                 let answer = self.state.handle(self.now, node, &request, self.mutation);
+                self.state.withheld = withheld;
                 self.state.written_late += u64::from(matches!(answer, Ok(StateAnswer::Committed(_))));
             }
             Happening::StateArrives { node, life, call, request } => {
+                let claims = self.state.claims;
                 let answer = self.state.handle(self.now, node, &request, self.mutation);
+                if self.state.claims > claims {
+                    self.deliver_kept_copies();
+                }
                 if let (Ok(StateAnswer::Committed(_)), StateCall::Commit { changes, .. }) = (&answer, &request) {
                     let puts = changes.iter().filter_map(|change| match change {
                         Change::Put { key, .. } => key.strip_prefix("machine/"),
@@ -646,7 +755,8 @@
                     let gone = |name: &&str| !self.workers.contains_key(&workers::number(&MachineId::new(name)));
                     self.ghosts += puts.filter(gone).count();
                 }
-                if self.state.unanswered.is_none_or(|(to, until)| to != node || self.now >= until) {
+                let unanswered = self.state.unanswered.is_some_and(|(to, until)| to == node && self.now < until);
+                if !unanswered && !self.is_answer_lost(&request) {
                     let event = Event::State { call, answer };
                     match self.state.slow.filter(|(until, _)| self.now < *until) {
                         Some((_, most)) => {
@@ -699,6 +809,8 @@
                 self.at(at, Happening::WorkersStep);
             }
             Happening::UserStep { user } => self.user_step(user),
+            Happening::CloseLook { user, node, asking } => self.close_look(user, node, asking),
+            Happening::OddRequest { node } => self.odd_request(node),
             Happening::HoldsEnd => {
                 self.state.end_holds(self.now);
                 let at = self.now + 50 * MS;
--- a/tests/world/state.rs
+++ b/tests/world/state.rs
@@ -41,6 +41,8 @@
     pub unanswered: Option<(usize, u64)>,
     /// Until then that share of the transactions gets no answer and is executed 2 to 12 s later.
     pub late_writes: Option<(u64, f64)>,
+    /// Until then that share of the transactions is executed at once, and only the answer is lost.
+    pub answers_lost: Option<(u64, f64)>,
     /// Until then every answer takes that much longer, at the most.
     pub slow: Option<(u64, u64)>,
     /// How many transactions were executed late, and succeeded.
@@ -59,6 +61,10 @@
     pub withheld: Option<(&'static str, u64)>,
     /// How many requests for such keys came meanwhile.
     pub withheld_requests: u64,
+    /// Records of live jobs that were removed lately, which an outdated reader is shown.
+    removed: HashMap<String, (u64, Entry)>,
+    /// How many claims were executed.
+    pub claims: u64,
 }
 
 impl State {
@@ -70,6 +76,11 @@
         }
     }
 
+    /// It answers everybody.
+    pub fn answers(&self, now: u64) -> bool {
+        now >= self.outage_until && self.refused_until.iter().all(|until| now >= *until)
+    }
+
     pub fn end_holds(&mut self, now: u64) {
         if now < self.outage_until {
             return;
@@ -184,7 +195,9 @@
         Ok(match call {
             StateCall::Get(key) => {
                 self.reads[node] += 1;
-                match self.keys.get(key) {
+                let outdated =
+                    self.removed.get(key).filter(|(at, _)| mutation == Mutation::OldReads && now < *at + SEC);
+                match self.keys.get(key).or(outdated.map(|(_, entry)| entry)) {
                     Some(entry) => StateAnswer::Found(entry.clone()),
                     None => StateAnswer::Missing,
                 }
@@ -257,12 +270,15 @@
                             if let Some(terms) = terms.filter(|_| mutation == Mutation::ShortTerms) {
                                 *terms = serde_json::json!({ "decides_ms": 0, "tells_ms": 0 });
                             }
+                            self.claims += u64::from(key.strip_prefix("shard/").is_some_and(|at| !at.contains('/')));
                             self.keep(LogEntry::Set { key: key.clone(), value: value.clone(), version });
                             self.keys.insert(key.clone(), Entry { key, value, version, hold });
                         }
                         Change::Delete(key) => {
                             self.keep(LogEntry::Delete { key: key.clone(), version });
-                            self.keys.remove(key);
+                            if let Some(entry) = self.keys.remove(key).filter(|_| mutation == Mutation::OldReads) {
+                                self.removed.insert(key.clone(), (now, entry));
+                            }
                         }
                     }
                 }
--- a/tests/world/users.rs
+++ b/tests/world/users.rs
@@ -22,19 +22,29 @@
     /// It is submitted only once those are over.
     pub late: bool,
     pub given_up: bool,
-    try_no: u64,
-    asking: Asking,
-    answered: bool,
+    /// How many questions it has asked.
+    asked: u64,
+    /// Those that have no answer yet: what was asked, and when it was sent.
+    open: BTreeMap<u64, (Asking, u64)>,
     /// When a node last told it the state of its job.
     heard: u64,
 }
 
+impl User {
+    /// It was told that its job is over.
+    pub fn is_over(&self) -> bool {
+        self.cancelled_at.is_some() || self.done_at.is_some()
+    }
+}
+
+/// How long a user waits for an answer.
+const PATIENCE: u64 = 5 * SEC;
+
 /// For how long a job may go unanswered.
 const FORGOTTEN: u64 = 75 * SEC;
 
-#[derive(Clone, Copy, PartialEq, Debug)]
-enum Asking {
-    Nothing,
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Asking {
     Submit,
     Poll,
     Cancel,
@@ -79,7 +89,7 @@
 
     /// Jobs that should have been done by now, as their users were told, and are not.
     pub fn never_done(&self) -> Vec<&JobId> {
-        let unending = |user: &&User| user.run > 60 * SEC || user.cancel_after.is_some();
+        let unending = |user: &&User| user.run > 60 * SEC || user.cancel_after.is_some() || user.asked_to_cancel;
         let left = self.users.iter().filter(|user| !unending(user) && user.done_at.is_none());
         left.map(|user| &user.spec.id).collect()
     }
@@ -124,9 +134,8 @@
             after: Vec::new(),
             late: false,
             given_up: false,
-            try_no: 0,
-            asking: Asking::Nothing,
-            answered: true,
+            asked: 0,
+            open: BTreeMap::new(),
             heard: 0,
         });
         self.at(submit_at, Happening::UserStep { user });
@@ -188,7 +197,7 @@
             return;
         }
         // However others fare, no job is forgotten once the troubles are over.
-        let over = user.cancelled_at.is_some() || user.asked_to_cancel || user.done_at.is_some();
+        let over = user.is_over();
         if let Some(calm) = self.calm_from.filter(|_| user.accepted_at.is_some() && !over) {
             let unanswered = now.saturating_sub(user.heard.max(calm));
             self.longest_unanswered = self.longest_unanswered.max(unanswered);
@@ -209,58 +218,144 @@
             if !after.iter().all(settled) || late && !after.iter().all(|need| is_over(&self.users[*need])) {
                 return self.at(now + 200 * MS, Happening::UserStep { user: at });
             }
-            if self.users[at].try_no == 0 {
+            if self.users[at].asked == 0 {
                 self.users[at].submit_at = now;
             }
         }
         let user = &mut self.users[at];
-        user.try_no += 1;
-        let over = user.cancelled_at.is_some() || user.done_at.is_some();
-        let id = user.spec.id.clone();
-        let (asking, ask, again) = if user.accepted_at.is_none() {
+        let over = user.is_over();
+        let (asking, again) = if user.accepted_at.is_none() {
             if now > user.submit_at + 60 * SEC {
                 user.given_up = true;
                 return;
             }
-            let mut spec = user.spec.clone();
-            if self.mutation == Mutation::NeedsUnsaid {
-                spec.prerequisites.clear();
-            }
-            (Asking::Submit, Ask::Submit(Ok(spec)), SEC)
+            (Asking::Submit, SEC)
         } else if roll < 8 {
             // A retry that comes late, also after the job is over.
-            (Asking::Submit, Ask::Submit(Ok(user.spec.clone())), 2 * SEC)
-        } else if !over && user.cancel_after.is_some_and(|after| now > user.submit_at + after) {
-            if !user.asked_to_cancel {
-                (user.asked_to_cancel, user.asked_at) = (true, now);
-            }
-            (Asking::Cancel, Ask::Cancel(id), SEC)
+            (Asking::Submit, 2 * SEC)
+        } else if !over && (user.asked_to_cancel || user.cancel_after.is_some_and(|after| now > user.submit_at + after))
+        {
+            (Asking::Cancel, SEC)
         } else if roll >= 97 {
-            (Asking::Stranger, Ask::Poll(JobId::new(&format!("wk-9{at:05}"))), SEC)
+            (Asking::Stranger, SEC)
         } else {
-            (Asking::Poll, Ask::Poll(id), if over { 9 * SEC } else { 3 * SEC } / often)
+            (Asking::Poll, if over { 9 * SEC } else { 3 * SEC } / often)
         };
-        user.asking = asking;
-        user.answered = false;
-        let try_no = user.try_no;
         let again = now + again + self.rng.random_range(0..SEC / often);
         self.at(again, Happening::UserStep { user: at });
-        let Some(node) = self.healthy_node() else { return };
-        if let Some(arrives) = self.way(Host::Users, Host::Node(node)) {
-            self.at(arrives, Happening::AskArrives { node, origin: Origin::User(at, try_no), ask });
+        if let Some(node) = self.healthy_node() {
+            self.user_asks(at, node, asking);
         }
     }
 
-    pub fn user_answered(&mut self, at: usize, try_no: u64, reply: &Reply) {
+    /// A user asks a node something about its job.
+    pub fn user_asks(&mut self, at: usize, node: usize, asking: Asking) {
         let now = self.now;
         let user = &mut self.users[at];
-        if user.try_no != try_no || user.answered {
+        let id = user.spec.id.clone();
+        let ask = match asking {
+            Asking::Submit => {
+                let mut spec = user.spec.clone();
+                if self.mutation == Mutation::NeedsUnsaid {
+                    spec.prerequisites.clear();
+                }
+                Ask::Submit(Ok(spec))
+            }
+            Asking::Poll => Ask::Poll(id),
+            Asking::Cancel => {
+                if !user.asked_to_cancel && !user.is_over() {
+                    (user.asked_to_cancel, user.asked_at) = (true, now);
+                }
+                Ask::Cancel(id)
+            }
+            Asking::Stranger => Ask::Poll(JobId::new(&format!("wk-9{at:05}"))),
+        };
+        user.asked += 1;
+        let number = user.asked;
+        user.open.retain(|_, (_, sent)| now - *sent <= PATIENCE);
+        user.open.insert(number, (asking, now));
+        if let Some(arrives) = self.way(Host::Users, Host::Node(node)) {
+            self.at(arrives, Happening::AskArrives { node, origin: Origin::User(at, number), ask });
+        }
+    }
+
+    /// A task has completed. If it was its job's last, some users call the job off at that moment, or ask.
+    pub fn task_completed(&mut self, job: &JobId) {
+        let Some((_, share)) = self.cancel_at_end.filter(|(until, _)| self.now < *until) else { return };
+        let Some(at) = self.users.iter().position(|user| user.spec.id == *job) else { return };
+        let tasks = self.users[at].spec.tasks;
+        let complete = (0..tasks).all(|task| self.completed.contains(&(job.to_string(), task)));
+        if !complete || !self.rng.random_bool(share) {
             return;
         }
-        user.answered = true;
-        let asking = user.asking;
+        let edges = [MS, 20 * MS, 200 * MS, 1200 * MS];
+        for _ in 0..4 {
+            let most = edges[self.rng.random_range(0..edges.len())];
+            let after = self.rng.random_range(0..most);
+            let asking = [Asking::Cancel, Asking::Cancel, Asking::Submit, Asking::Poll][self.rng.random_range(0..4)];
+            let node = self.rng.random_range(0..3);
+            self.at(self.now + after, Happening::CloseLook { user: at, node, asking });
+        }
+    }
+
+    /// Jobs that run are called off within a fifth of a second. Gives back the machines that have their tasks.
+    pub fn cancel_now(&mut self, count: usize) -> Vec<u32> {
+        let on = |world: &World, job: &JobId| -> Vec<u32> {
+            let has = |worker: &&workers::Worker| worker.tasks.keys().any(|(task, _)| task.job == *job);
+            world.workers.values().filter(has).map(|worker| worker.number).collect()
+        };
+        let mut machines = Vec::new();
+        let running: Vec<usize> = (0..self.users.len())
+            .filter(|at| !self.users[*at].is_over() && !on(self, &self.users[*at].spec.id).is_empty())
+            .collect();
+        for at in running.into_iter().take(count) {
+            machines.extend(on(self, &self.users[at].spec.id));
+            let node = self.rng.random_range(0..3);
+            let after = self.rng.random_range(0..200 * MS);
+            self.at(self.now + after, Happening::CloseLook { user: at, node, asking: Asking::Cancel });
+        }
+        machines.sort();
+        machines.dedup();
+        machines
+    }
+
+    /// Right after something was told, its user asks at all nodes, again and again, and repeats the submission;
+    /// some cancel at once.
+    fn look_closely(&mut self, at: usize, accepted: bool) {
+        if self.now >= self.close_looks_until {
+            return;
+        }
+        let cancels = if accepted { self.rng.random_bool(0.25) } else { self.users[at].asked_to_cancel };
+        for turn in 0..3 {
+            for node in 0..3 {
+                let asking = match self.rng.random_range(0..4) {
+                    0 => Asking::Submit,
+                    1 if cancels => Asking::Cancel,
+                    _ => Asking::Poll,
+                };
+                let after = turn * 15 * MS + self.rng.random_range(0..25 * MS);
+                self.at(self.now + after, Happening::CloseLook { user: at, node, asking });
+            }
+        }
+    }
+
+    pub fn close_look(&mut self, user: usize, node: usize, asking: Asking) {
+        if self.is_up(node) {
+            self.close_looks.0 += 1;
+            self.user_asks(user, node, asking);
+        }
+    }
+
+    pub fn user_answered(&mut self, at: usize, number: u64, reply: &Reply) {
+        let now = self.now;
+        let user = &mut self.users[at];
+        let Some((asking, sent)) = user.open.remove(&number).filter(|(_, sent)| now - *sent <= PATIENCE) else {
+            return;
+        };
         let id = user.spec.id.clone();
         let known = user.accepted_at.is_some();
+        // Whatever it had heard, from any node, when it asked: nothing older may be the answer.
+        let knew = user.accepted_at.is_some_and(|heard| heard < sent);
         if asking == Asking::Stranger {
             if reply.status == 200 {
                 self.fail("invented", format!("a job that nobody submitted gets {}", reply.body));
@@ -269,8 +364,12 @@
         }
         match reply.status {
             200 | 201 => user.heard = now,
-            404 if known => return self.fail("forgotten", format!("{id} gets 404")),
-            400 | 422 if known => return self.fail("forgotten", format!("{id} gets {}", reply.status)),
+            404 if knew => return self.fail("forgotten", format!("{id} gets 404")),
+            400 | 422 if knew => return self.fail("forgotten", format!("{id} gets {}", reply.status)),
+            503 if now < self.close_looks_until && self.state.answers(now) => {
+                self.close_looks.1 += 1;
+                return;
+            }
             _ => return,
         }
         let body: serde_json::Value = serde_json::from_str(&reply.body).unwrap_or_default();
@@ -278,13 +377,28 @@
         let tasks = user.spec.tasks;
         if asking == Asking::Submit && !known {
             user.accepted_at = Some(now);
+            self.look_closely(at, true);
         }
-        if user.done_at.is_some() && state != "done" || user.cancelled_at.is_some() && state != "withdrawn" {
-            return self.fail("went_back", format!("{id} is called {state}"));
+        let user = &mut self.users[at];
+        let heard = user.done_at.map(|at| ("done", at)).or(user.cancelled_at.map(|at| ("withdrawn", at)));
+        if let Some((is, heard)) = heard
+            && state != is
+        {
+            // What was asked before that and is answered after it may still be older; another end is wrong at any time.
+            if heard < sent || matches!(state.as_str(), "done" | "withdrawn") {
+                self.fail(
+                    "went_back",
+                    format!("{id} is called {state} after {is}, asked {} ms later", (sent.saturating_sub(heard)) / MS),
+                );
+            }
+            return;
         }
         match state.as_str() {
             "done" => {
                 user.done_at.get_or_insert(now);
+                if heard.is_none() {
+                    self.look_closely(at, false);
+                }
                 let complete = (0..tasks).all(|task| self.completed.contains(&(id.to_string(), task)));
                 if !complete {
                     self.fail("not_done", format!("{id} is called done"));
@@ -299,6 +413,9 @@
                     self.confirmed_after.push(now - user.asked_at);
                 }
                 user.cancelled_at.get_or_insert(now);
+                if heard.is_none() {
+                    self.look_closely(at, false);
+                }
             }
             _ => {
                 if let Some((need, told)) = self.cancelled_before(at)
--- a/tests/world/workers.rs
+++ b/tests/world/workers.rs
@@ -22,6 +22,8 @@
     pub state: TaskState,
     pub until: u64,
     pub ran_from: u64,
+    /// When the machine was told to start it.
+    told_at: u64,
 }
 
 pub struct Worker {
@@ -33,6 +35,8 @@
     pub hung_until: u64,
     /// Until then the answers to its reports get lost.
     pub deaf_until: u64,
+    /// Until then it can't open a connection to any controller; commands reach it.
+    pub mute_until: u64,
     pub faulty: bool,
     pub notice_at: Option<u64>,
     pub session: u64,
@@ -59,6 +63,7 @@
             up_at,
             hung_until: 0,
             deaf_until: 0,
+            mute_until: 0,
             faulty: false,
             notice_at: None,
             session: 1,
@@ -107,6 +112,9 @@
     matches!(state, TaskState::Running | TaskState::Saving)
 }
 
+/// How long a task may wait beside a machine with room for it.
+const BESIDE_ROOM: u64 = 90 * SEC;
+
 impl World {
     /// A machine is back within so long: in a new session, with none of its tasks.
     pub fn restart_machine(&mut self, number: u32, down: u64) {
@@ -145,7 +153,10 @@
             return self.take_machine(number);
         }
         let lease_from = *worker.lease_from.get_or_insert(worker.up_at);
-        if now.saturating_sub(lease_from) > LEASE && mutation != Mutation::LeasesIgnored {
+        let forgiven = mutation == Mutation::HangsForgiven && now < worker.hung_until + SEC;
+        if forgiven {
+            worker.lease_from = Some(now);
+        } else if now.saturating_sub(lease_from) > LEASE && mutation != Mutation::LeasesIgnored {
             worker.tasks.clear();
             worker.session += 1;
             worker.lease_from = Some(now);
@@ -183,6 +194,11 @@
         if !due || (worker.next_report > now && worker.next_report > worker.last_report + 2 * SEC) {
             return;
         }
+        if now < worker.mute_until {
+            worker.node = (worker.node + 1) % 3;
+            worker.next_report = now + SEC;
+            return;
+        }
         worker.changed = false;
         worker.last_report = now;
         let node = worker.node;
@@ -232,7 +248,8 @@
                 if faulty || fails {
                     task.until = now + 200 * MS;
                 }
-                self.check_start(number, &key.0);
+                let told_at = task.told_at;
+                self.check_start(number, &key.0, told_at);
             }
             TaskState::Running => {
                 let fails = run.is_some_and(|(_, fails)| fails) || faulty;
@@ -240,6 +257,7 @@
                 task.state = TaskState::Exited(exit);
                 if exit == Exit::Done {
                     self.completed.insert((key.0.job.to_string(), key.0.task.0));
+                    self.task_completed(&key.0.job);
                 }
             }
             _ => {}
@@ -257,7 +275,8 @@
             let Some(worker) = self.workers.get_mut(&number) else { return };
             match command["call"].as_str() {
                 Some("run") => {
-                    if worker.tasks.contains_key(&key) {
+                    let ignored = self.mutation == Mutation::RunsIgnored && id.job.as_str().ends_with('3');
+                    if worker.tasks.contains_key(&key) || ignored {
                         continue;
                     }
                     let used = worker.tasks.iter().filter(|(_, task)| !matches!(task.state, TaskState::Exited(_)));
@@ -274,7 +293,7 @@
                         Some(spec) if !spec.needs.fits_in(&room) => TaskState::Exited(Exit::NoRoom),
                         Some(_) => TaskState::Fetching,
                     };
-                    worker.tasks.insert(key, Task { state, until: now + fetch, ran_from: now });
+                    worker.tasks.insert(key, Task { state, until: now + fetch, ran_from: now, told_at: now });
                     worker.changed = true;
                 }
                 Some("stop") if self.mutation != Mutation::StopsIgnored => {
@@ -377,7 +396,7 @@
     }
 
     /// The rules about a start.
-    fn check_start(&mut self, number: u32, id: &TaskId) {
+    fn check_start(&mut self, number: u32, id: &TaskId, told_at: u64) {
         self.starts += 1;
         let Some(user) = self.users.iter().find(|user| user.spec.id == id.job) else {
             return self.fail("invented", format!("{id} was started"));
@@ -390,6 +409,9 @@
             .find(|need| (0..need.tasks).any(|task| !self.completed.contains(&(need.id.to_string(), task))));
         let unfinished = unfinished.map(|need| need.id.clone());
         let late = user.cancelled_at.is_some_and(|at| self.now > at + CANCEL);
+        if let Some(cancelled) = user.cancelled_at {
+            self.started_cancelled[usize::from(told_at > cancelled)] += 1;
+        }
         if late {
             self.fail("ran_cancelled", format!("{id} starts on {number}"));
         }
@@ -428,14 +450,14 @@
     }
 
     fn check_machines(&mut self) {
-        let mut used = 0;
+        let mut used: BTreeMap<Name, Resources> = BTreeMap::new();
         let (mut late, mut longest) = (None, 0);
+        let users: HashMap<&JobId, &users::User> = self.users.iter().map(|user| (&user.spec.id, user)).collect();
         for worker in self.workers.values() {
             for ((id, _), _) in worker.tasks.iter().filter(|(_, task)| is_on(task.state)) {
-                let Some(user) = self.users.iter().find(|user| user.spec.id == id.job) else { continue };
-                if user.spec.team.as_str() == "limited" {
-                    used += user.spec.needs.cpus.0;
-                }
+                let Some(user) = users.get(&id.job) else { continue };
+                let team = used.entry(user.spec.team.clone()).or_default();
+                *team = team.plus(&user.spec.needs);
                 let since = user.cancelled_at.map_or(0, |at| self.now - at);
                 longest = longest.max(since);
                 if since > CANCEL {
@@ -444,11 +466,87 @@
             }
         }
         self.longest_cancelled = self.longest_cancelled.max(longest);
-        if used > Amount::new(16.0).0 {
-            self.fail("quota", format!("the limited team uses {} cpus", used / 1_000_000));
+        let over = used.iter().find(|(team, used)| {
+            let (cpus, gpus) = self.limits.get(*team).copied().unwrap_or_default();
+            cpus.is_some_and(|most| used.cpus > most) || gpus.is_some_and(|most| used.gpus > most)
+        });
+        if let Some((team, used)) = over {
+            let what =
+                format!("the {team} team uses {} cpus and {} GPUs", used.cpus.0 / 1_000_000, used.gpus.0 / 1_000_000);
+            self.fail("quota", what);
         }
         if let Some(id) = late {
             self.fail("ran_cancelled", format!("{id} is on a machine still"));
         }
+        if self.now % SEC < 50 * MS {
+            self.check_idle_room();
+        }
+    }
+
+    /// Once the troubles are over, no task waits for long beside a machine that fits it and has room.
+    fn check_idle_room(&mut self) {
+        let Some(calm) = self.calm_from.filter(|calm| self.now >= *calm) else { return };
+        let mut used: BTreeMap<Name, Resources> = BTreeMap::new();
+        let mut places: HashMap<&JobId, Vec<(u32, &Name)>> = HashMap::new();
+        let mut room: Vec<(&Worker, Resources)> = Vec::new();
+        let users: HashMap<&JobId, &users::User> = self.users.iter().map(|user| (&user.spec.id, user)).collect();
+        for worker in self.workers.values().filter(|worker| worker.up_at <= self.now) {
+            let mut left = worker.room();
+            for ((id, _), task) in worker.tasks.iter().filter(|(_, task)| !matches!(task.state, TaskState::Exited(_))) {
+                let Some(user) = users.get(&id.job) else { continue };
+                left = left.minus(&user.spec.needs);
+                let team = used.entry(user.spec.team.clone()).or_default();
+                *team = team.plus(&user.spec.needs);
+                if matches!(task.state, TaskState::Fetching | TaskState::Running | TaskState::Saving) {
+                    places.entry(&user.spec.id).or_default().push((id.task.0, &worker.zone));
+                }
+            }
+            let well = !worker.faulty && worker.notice_at.is_none();
+            if well && worker.hung_until.max(worker.deaf_until).max(worker.mute_until) + 10 * SEC < self.now {
+                room.push((worker, left));
+            }
+        }
+        let mut waits = Vec::new();
+        for (at, user) in self.users.iter().enumerate() {
+            let needed = user.after.iter().all(|need| self.users[*need].done_at.is_some());
+            if user.accepted_at.is_none() || user.asked_to_cancel || user.is_over() || user.fails || !needed {
+                continue;
+            }
+            let spec = &user.spec;
+            let here = places.get(&spec.id);
+            let is_there = |task: u32| here.is_some_and(|places| places.iter().any(|(other, _)| *other == task));
+            let open = |task: &u32| !is_there(*task) && !self.completed.contains(&(spec.id.to_string(), *task));
+            if !(0..spec.tasks).any(|task| open(&task)) {
+                continue;
+            }
+            let (cpus, gpus) = self.limits.get(&spec.team).copied().unwrap_or_default();
+            let then = used.get(&spec.team).copied().unwrap_or_default().plus(&spec.needs);
+            if cpus.is_some_and(|most| then.cpus > most) || gpus.is_some_and(|most| then.gpus > most) {
+                continue;
+            }
+            let fits = room.iter().any(|(worker, left)| {
+                let in_zone = here.into_iter().flatten().filter(|(_, zone)| **zone == worker.zone).count() as u32;
+                let elsewhere = here.is_some_and(|places| places.iter().any(|(_, zone)| **zone != worker.zone));
+                spec.needs.fits_in(left)
+                    && spec.allows_type(&worker.kind)
+                    && spec.allows_zone(&worker.zone)
+                    && (spec.spot || !worker.spot)
+                    && !(spec.one_zone && elsewhere)
+                    && !(spec.spread && in_zone + 1 > spec.tasks.div_ceil(2))
+            });
+            if fits {
+                waits.push(at);
+            }
+        }
+        let before = std::mem::take(&mut self.waits_beside_room);
+        for at in waits {
+            let since = before.get(&at).copied().unwrap_or(self.now).max(calm);
+            self.longest_beside_room = self.longest_beside_room.max(self.now - since);
+            self.waits_beside_room.insert(at, since);
+            if self.now - since > BESIDE_ROOM {
+                let id = self.users[at].spec.id.clone();
+                self.fail("idle", format!("{id} has waited for {} s beside room", (self.now - since) / SEC));
+            }
+        }
     }
 }
