Take a job in by its record only if that was read under this claim and the job has not ended

Cause: a job that another controller had accepted was found by a user's question, taken in, cancelled and confirmed; then the read of its note, put aside until the claim was seen to stand, was believed and took the job in once more. It was started after the cancellation and never stopped, since its record was gone. Three paths took jobs in (a question, a note, a late answer to the acceptance), each by a condition of its own. Now one function decides: not what has ended, not what was read before this claim's own records were, nothing older than 10 s; and who asked while an acceptance was on its way is answered by what is known when it comes.

--- a/src/coordination/controller.rs
+++ b/src/coordination/controller.rs
@@ -79,6 +79,7 @@
         claim: Revision,
         note: String,
         version: Revision,
+        sent: Time,
     },
     RemoveNote {
         note: String,
@@ -523,8 +524,8 @@
             StateWork::LoadJobs { shard, claim } => self.loaded_jobs(shard, claim, answer),
             StateWork::LoadMachines { shard, claim } => self.loaded_machines(shard, claim, answer),
             StateWork::Lookup(lookup) => self.looked_up(*lookup, answer),
-            StateWork::ReadNoted { shard, claim, note, version } => {
-                self.noted_read(shard, claim, note, version, answer)
+            StateWork::ReadNoted { shard, claim, note, version, sent } => {
+                self.noted_read(shard, claim, note, version, sent, answer)
             }
             StateWork::RemoveNote { note } => {
                 self.notes.remove(&note);
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -15,8 +15,13 @@
     then: Then,
     /// `live` was not there; now `end` is read. In that order a job that ends meanwhile is seen.
     at_end: bool,
+    /// When the read of `live` was sent.
+    sent: Time,
 }
 
+/// For how long a record that was read counts, at the most: far shorter than the newest ends are kept in memory.
+const FRESH: Span = Span::millis(10_000);
+
 pub(super) enum Then {
     Poll,
     /// Told by the records alone, whoever holds the job.
@@ -75,12 +80,12 @@
             return self.reply(asker, Reply::busy("too many questions"));
         }
         let request = StateCall::Get(records::live_key(&job));
-        let lookup = Lookup { asker, job, then, at_end: false };
+        let lookup = Lookup { asker, job, then, at_end: false, sent: self.now };
         self.call_state(request, StateWork::Lookup(Box::new(lookup)));
     }
 
     pub(super) fn looked_up(&mut self, lookup: Lookup, answer: Result<StateAnswer, CallError>) {
-        let Lookup { asker, job, then, at_end } = lookup;
+        let Lookup { asker, job, then, at_end, sent } = lookup;
         match answer {
             Ok(StateAnswer::Found(entry)) if at_end => {
                 let Ok(end) = serde_json::from_value::<EndRecord>(entry.value) else {
@@ -94,11 +99,11 @@
                     return self.reply(asker, Reply::busy("its record can't be read"));
                 };
                 self.job_homes.insert(job.clone(), record.decided_in());
-                self.found_live(asker, record, entry.version, then);
+                self.found_live(asker, record, entry.version, then, sent);
             }
             Ok(StateAnswer::Missing) if !at_end => {
                 let request = StateCall::Get(records::end_key(&job));
-                let lookup = Lookup { asker, job, then, at_end: true };
+                let lookup = Lookup { asker, job, then, at_end: true, sent };
                 self.call_state(request, StateWork::Lookup(Box::new(lookup)));
             }
             Ok(StateAnswer::Missing) => {
@@ -115,7 +120,7 @@
     }
 
     /// The record of a job that was not in memory says that it is live.
-    fn found_live(&mut self, asker: Asker, record: LiveRecord, version: Revision, then: Then) {
+    fn found_live(&mut self, asker: Asker, record: LiveRecord, version: Revision, then: Then, sent: Time) {
         let (id, shard_id) = (record.job.id.clone(), record.decided_in());
         if let Some(end) = self.ended.jobs.get(&id) {
             // It has ended since the record was read.
@@ -125,13 +130,10 @@
         if matches!(then, Then::Walk) {
             return self.walk(asker, &record);
         }
-        let (entitled, now) = (self.decides(shard_id), self.now);
-        if let Some(shard) = self.shards.get_mut(&shard_id).filter(|shard| shard.is_active() && entitled) {
-            if !shard.has(&id) {
-                // Written under this claim, or it would have been loaded: an acceptance whose
-                // answer was lost. So nothing of it has been started.
-                log::info!("job {id} found in the records");
-                shard.take_in(record, version, now);
+        if self.decides(shard_id) && self.shards.get(&shard_id).is_some_and(|shard| shard.is_active()) {
+            // An acceptance whose answer was lost.
+            if !self.take_in_read(shard_id, record, version, sent, "found in the records") {
+                return self.look_up(asker, id, then);
             }
             return match then {
                 Then::Cancel => self.cancel_here(asker, shard_id, id),
@@ -152,6 +154,35 @@
         }
     }
 
+    /// Takes in a job that is not in memory here, as its record was when a request sent at that time was answered. Gives
+    /// back whether that told how the job stands.
+    ///
+    /// It was written under this claim, or it would have been loaded, so nothing of it has been started. But what was
+    /// read may be outdated: an answer may take long, and wait for the claim to be seen standing. The job may have
+    /// become known in another way since, and have ended, or have ended before the claim: taken in once more it
+    /// would be started after its user was told that it is over.
+    fn take_in_read(
+        &mut self,
+        shard_id: ShardId,
+        record: LiveRecord,
+        version: Revision,
+        sent: Time,
+        how: &str,
+    ) -> bool {
+        let now = self.now;
+        let has_ended = self.ended.jobs.contains_key(&record.job.id);
+        let Some(shard) = self.shards.get_mut(&shard_id) else { return false };
+        if has_ended || shard.has(&record.job.id) {
+            return true;
+        }
+        let is_fresh = shard.read_at.is_some_and(|read_at| sent >= read_at) && now.since(sent) < FRESH;
+        if is_fresh {
+            log::info!("job {} {how}", record.job.id);
+            shard.take_in(record, version, now);
+        }
+        is_fresh
+    }
+
     /// Where a job should be, if anywhere.
     fn home_of_job(&self, job: &JobId) -> Option<ShardId> {
         self.job_homes.get(job).copied().or(self.only_shard())
@@ -486,7 +517,7 @@
         if shard.has(&job) || self.ended.jobs.contains_key(&job) {
             return self.remove_note(shard_id, claim, note.to_string(), version);
         }
-        let work = StateWork::ReadNoted { shard: shard_id, claim, note: note.to_string(), version };
+        let work = StateWork::ReadNoted { shard: shard_id, claim, note: note.to_string(), version, sent: self.now };
         self.call_state(StateCall::Get(records::live_key(&job)), work);
     }
 
@@ -496,20 +527,21 @@
         claim: Revision,
         note: String,
         version: Revision,
+        sent: Time,
         answer: Result<StateAnswer, CallError>,
     ) {
-        let now = self.now;
-        let Some(shard) = self.shard_under(shard_id, claim) else {
+        if self.shard_under(shard_id, claim).is_none() {
             self.notes.remove(&note);
             return;
-        };
+        }
         match answer {
             Ok(StateAnswer::Found(entry)) => match serde_json::from_value::<LiveRecord>(entry.value) {
-                // It was not there when this claim's records were loaded, so it was accepted under
-                // this claim and nothing of it has been started.
-                Ok(record) if record.decided_in() == shard_id && !shard.has(&record.job.id) => {
-                    log::info!("job {} was accepted by another node", record.job.id);
-                    shard.take_in(record, entry.version, now);
+                Ok(record) if record.decided_in() == shard_id => {
+                    if !self.take_in_read(shard_id, record, entry.version, sent, "was accepted by another node") {
+                        // The note is seen again.
+                        self.notes.remove(&note);
+                        return;
+                    }
                 }
                 _ => {}
             },
@@ -530,6 +562,14 @@
         self.call_state(request, StateWork::RemoveNote { note });
     }
 
+    /// Tells of a job by what is known of its end, or by the records.
+    fn poll_recorded(&mut self, asker: Asker, id: &JobId) {
+        match self.ended_view(id) {
+            Some(reply) => self.reply(asker, reply),
+            None => self.look_up(asker, id.clone(), Then::Walk),
+        }
+    }
+
     pub(super) fn accept_answered(
         &mut self,
         shard_id: ShardId,
@@ -542,25 +582,29 @@
         match answer {
             Ok(StateAnswer::Committed(version)) => {
                 let (now, waits) = (self.now, record.is_waiting());
+                // It may have been found in the records before this answer came, and have ended.
+                let has_ended = self.ended.jobs.contains_key(&id);
                 if let Some(shard) = self.shard_under(shard_id, claim)
+                    && !has_ended
                     && !shard.has(&id)
                 {
                     shard.take_in(record, version, now);
                 }
-                if waits {
-                    // A job that it needs may have been cancelled: then so is this one, from the start.
-                    for asker in askers {
-                        match self.shards.get(&shard_id).is_some_and(|shard| shard.has(&id)) {
-                            true => self.poll_here(asker, shard_id, id.clone()),
-                            false => self.look_up(asker, id.clone(), Then::Walk),
-                        }
-                    }
-                    return;
+                let mut askers = askers.into_iter();
+                if !waits
+                    && !has_ended
+                    && let Some(first) = askers.next()
+                {
+                    // Durable, whoever holds the shard by now.
+                    self.reply(first, Reply { status: 201, ..view(&id, JobState::Queued, 0, 0) });
                 }
-                // Durable, whoever holds the shard by now.
-                let reply = Reply { status: 201, ..view(&id, JobState::Queued, 0, 0) };
+                // Who asked later may know more by now: others may have told that it is over. And a job that it
+                // needs may have been cancelled: then so is this one, from the start.
                 for asker in askers {
-                    self.reply(asker, reply.clone());
+                    match self.shards.get(&shard_id).is_some_and(|shard| shard.has(&id)) {
+                        true => self.poll_here(asker, shard_id, id.clone()),
+                        false => self.poll_recorded(asker, &id),
+                    }
                 }
             }
             Ok(StateAnswer::Conflict(failed)) if failed.contains(&records::shard_key(shard_id)) => {
--- a/tests/meetings/scripted.rs
+++ b/tests/meetings/scripted.rs
@@ -115,3 +115,37 @@
         assert!(world.broken.is_empty(), "seed {seed}: {:?}", world.broken);
     }
 }
+
+/// Controllers that do not hear one another, so that all take jobs for the one that holds the shard, and users who look
+/// closely and cancel at once. `slow`: how long answers of the state service take at the most.
+fn taken_from_afar(seed: u64, slow: u64) -> World {
+    let mut world = World::with_one_shard(seed, [12, 12]);
+    world.cloud.sound = true;
+    world.run_until(12 * SEC);
+    let until = 60 * SEC;
+    for node in 0..3 {
+        world.part(Host::Node(node), node, until, false);
+    }
+    world.close_looks_until = until;
+    world.state.slow = Some((until, slow));
+    world.state.answers_lost = Some((until, 0.2));
+    for id in 0..150 {
+        let at = 12 * SEC + u64::from(id) * 250 * MS;
+        world.add_user(spec(id, JobKind::Array, "free", 1, 1.0), 60 * SEC, at, None, false);
+    }
+    world.run_until(110 * SEC);
+    world
+}
+
+/// A record that was read before its job ended, and counted only after that, had the job once more in memory: it was
+/// started though its user knew that it is cancelled, and nothing stopped it, since its record was gone.
+#[test]
+fn a_job_that_ended_is_not_taken_in_again_by_what_was_read_before() {
+    let mut started = 0;
+    for seed in 0..12 {
+        let world = taken_from_afar(seed, [20, 300, 1100][seed as usize % 3] * MS);
+        assert!(world.broken.is_empty(), "seed {seed}: {:?}", world.broken);
+        started += world.started_cancelled[1];
+    }
+    assert_eq!(started, 0, "starts ordered after a confirmed cancellation");
+}
