Tell no live state of a job while a write of its end may still be executed

Cause: a write of an end without an answer is followed by a read of the record. If that found the job live, the holder told it as running again while it was refused, although the first write could be executed up to 12 s later and be read by the others: went_back. Now it tells nothing until the record has been written anew or the end is known. The same for what is concluded for jobs that need a cancelled one.

--- a/src/coordination/ledger.rs
+++ b/src/coordination/ledger.rs
@@ -189,6 +189,7 @@
         match (work, answer) {
             (JobWrite::Progress { done, all, untouched, failing }, Ok(StateAnswer::Committed(version))) => {
                 job.version = version;
+                job.end_outstanding = false;
                 job.written = all;
                 job.recorded = done;
                 job.fault_recorded = failing;
@@ -203,13 +204,16 @@
             (JobWrite::Reread, Ok(StateAnswer::Found(entry))) => {
                 match serde_json::from_value::<LiveRecord>(entry.value) {
                     Ok(record) => {
+                        job.end_outstanding &= entry.version == job.version;
                         job.version = entry.version;
                         job.recorded = RangeSet::parse(&record.done, job.spec.tasks).unwrap_or_default();
                         job.written = job.recorded.len();
                         job.untouched = record.untouched.min(job.spec.tasks);
                         job.fault_recorded = record.failing;
                         job.unsure = false;
-                        self.doubt_cancel(&id, false);
+                        if !job.end_outstanding {
+                            self.doubt_cancel(&id, false);
+                        }
                     }
                     Err(error) => log::error!("record of job {id} can't be read: {error}"),
                 }
@@ -237,15 +241,18 @@
                 job.refused = true;
                 if job.ending.is_some() {
                     let askers = std::mem::take(&mut job.cancel_askers);
-                    self.doubt_cancel(&id, false);
+                    if !job.end_outstanding {
+                        self.doubt_cancel(&id, false);
+                    }
                     for asker in askers {
                         self.reply(asker, Reply::busy("state not reachable"));
                     }
                 }
                 return;
             }
-            _ => {
+            (work, _) => {
                 job.unsure = true;
+                job.end_outstanding |= matches!(work, JobWrite::End(_));
                 let askers = std::mem::take(&mut job.cancel_askers);
                 for asker in askers {
                     self.reply(asker, Reply::busy("state not reachable"));
--- a/src/coordination/pipelines.rs
+++ b/src/coordination/pipelines.rs
@@ -42,6 +42,8 @@
     writing: bool,
     /// What became of a write is not known.
     unsure: bool,
+    /// A write of its end had no answer and may still be executed, see `Job`.
+    end_outstanding: bool,
     /// When a write failed: the next one waits for a round.
     failed: Option<Time>,
 }
@@ -128,6 +130,7 @@
             cancel_askers: Vec::new(),
             writing: false,
             unsure: false,
+            end_outstanding: false,
             failed: None,
         };
         self.jobs.insert(id, waiting);
@@ -477,9 +480,12 @@
             (WaitingWrite::Reread, Ok(StateAnswer::Found(entry))) => {
                 match serde_json::from_value::<LiveRecord>(entry.value) {
                     Ok(record) if record.is_waiting() => {
+                        job.end_outstanding &= entry.version == job.version;
                         job.version = entry.version;
                         job.unsure = false;
-                        self.doubt_cancel(&id, false);
+                        if !job.end_outstanding {
+                            self.doubt_cancel(&id, false);
+                        }
                     }
                     // The release whose answer was lost: nothing of it has been started.
                     Ok(record) => self.released_job(shard_id, record, entry.version),
@@ -505,11 +511,14 @@
             (WaitingWrite::Release(_) | WaitingWrite::End(_), Err(CallError::Refused { .. })) => {
                 job.failed = Some(now);
                 let askers = std::mem::take(&mut job.cancel_askers);
-                self.doubt_cancel(&id, false);
+                if !job.end_outstanding {
+                    self.doubt_cancel(&id, false);
+                }
                 self.put_off(askers);
             }
-            _ => {
+            (work, _) => {
                 (job.unsure, job.failed) = (true, Some(now));
+                job.end_outstanding |= matches!(work, WaitingWrite::End(_));
                 let askers = std::mem::take(&mut job.cancel_askers);
                 shard.pipelines.due.insert(id);
                 self.put_off(askers);
--- a/src/coordination/shard.rs
+++ b/src/coordination/shard.rs
@@ -47,6 +47,9 @@
     pub writing: bool,
     /// What became of a write is not known; the record has to be read again.
     pub unsure: bool,
+    /// A write of its end had no answer and was not there when the record was read: it may still be executed, until
+    /// the record is written anew, and other nodes may tell the end then.
+    pub end_outstanding: bool,
     /// The last write of its record was refused, and so not executed.
     pub refused: bool,
     /// Its record was refused for its size: the next one is smaller, or there is none.
@@ -533,6 +536,7 @@
             running: HashMap::new(),
             writing: false,
             unsure: false,
+            end_outstanding: false,
             refused: false,
             too_large: TooLarge::Not,
             ending: None,
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -53,7 +53,7 @@
 pub(super) fn live_state(job: &Job) -> Option<JobState> {
     // While a record of its end is on the way, another node may have read that already. One that is
     // done but waits for its turn to be recorded is still told as running.
-    let may_be_read = job.unsure || job.ending.is_some() && job.writing;
+    let may_be_read = job.unsure || job.end_outstanding || job.ending.is_some() && job.writing;
     if may_be_read || job.ending == Some(Final::Cancelled) {
         return None;
     }
--- a/tests/meetings/scripted.rs
+++ b/tests/meetings/scripted.rs
@@ -4,7 +4,10 @@
 use crate::world::users::spec;
 use crate::world::{Cut, Host, MS, SEC, World};
 use crowstall::model::*;
+use crowstall::protocol::Reply;
+use crowstall::protocol::users::Ask;
 use rand::Rng;
+use std::collections::BTreeSet;
 
 /// Services everywhere, each of whose users asks to cancel it at some moment around 31 s.
 fn about_to_be_cancelled(seed: u64, more: &str) -> World {
@@ -116,6 +119,58 @@
     }
 }
 
+/// The ends of some jobs get no answer and are executed seconds later; meanwhile they are tried again and refused.
+/// Gives back how often the holder told something older of a job whose end is recorded, and how many those were.
+fn told_beside_an_outstanding_end(seed: u64, asked_to_cancel: bool) -> (usize, usize) {
+    let mut world = World::with_one_shard(seed, [12, 12]);
+    world.cloud.sound = true;
+    world.add_services();
+    let kind = if asked_to_cancel { JobKind::Service } else { JobKind::Array };
+    let run = if asked_to_cancel { u64::MAX / 4 } else { 4 * SEC };
+    let jobs: Vec<JobId> = (100..140).map(|id| spec(id, kind, "free", 1, 1.0).id).collect();
+    for id in 100..140 {
+        let cancel = asked_to_cancel.then_some(4 * SEC);
+        world.add_user(spec(id, kind, "free", 1, 1.0), run, 20 * SEC + u64::from(id) * 20 * MS, cancel, false);
+    }
+    world.run_until(25 * SEC);
+    world.state.late_writes = Some((29 * SEC, 1.0));
+    world.run_until(29 * SEC);
+    let node = holder(&world);
+    let until = world.now + 12 * SEC;
+    world.state.withheld = Some(("end/", until));
+    let mut older = 0;
+    let is_over = |world: &World, job: &JobId| world.state.get(&format!("end/{job}")).is_some();
+    let mut ended = BTreeSet::new();
+    while world.now < until && world.holder(0) == Some(node) {
+        let next = world.now + 20 * MS;
+        world.run_until(next);
+        for job in jobs.iter().filter(|job| is_over(&world, job)).cloned().collect::<Vec<_>>() {
+            let reply = world.ask(node, Ask::Poll(job.clone()));
+            let live = |reply: &Reply| {
+                reply.status == 200 && !reply.body.contains("done") && !reply.body.contains("withdrawn")
+            };
+            older += usize::from(reply.is_some_and(|reply| live(&reply)));
+            ended.insert(job);
+        }
+    }
+    world.run_until(100 * SEC);
+    assert!(world.broken.is_empty(), "seed {seed}: {:?}", world.broken);
+    (older, ended.len())
+}
+
+/// A read that finds a job's record as it was does not say that a write of its end without an answer is lost: it may be
+/// executed later, and be read by others while this holder is refused.
+#[test]
+fn a_holder_tells_nothing_older_while_a_write_of_an_end_is_outstanding() {
+    let (mut older, mut ends) = (0, 0);
+    for seed in 0..6 {
+        let (told, ended) = told_beside_an_outstanding_end(seed, seed % 2 == 1);
+        (older, ends) = (older + told, ends + ended);
+    }
+    assert_eq!(older, 0, "older answers beside {ends} ends");
+    assert!(ends >= 20, "only {ends} ends were recorded late");
+}
+
 /// Controllers that do not hear one another, so that all take jobs for the one that holds the shard, and users who look
 /// closely and cancel at once. `slow`: how long answers of the state service take at the most.
 fn taken_from_afar(seed: u64, slow: u64) -> World {
