Stop what of a cancelled job has not begun straight away, not at its machine's next report

Cause: a task that is fetching its image when its job is cancelled begins before the next report's answer stops it, after its user was told. Stops of such tasks now go to their machines at once, 64 machines at a time; they arrive while the cancellation is being recorded.

--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -317,7 +317,9 @@
             && job.ending.is_none()
         {
             job.ending = Some(Final::Cancelled);
+            self.stop_unstarted(shard_id, &id);
         }
+        let Some(shard) = self.shards.get_mut(&shard_id) else { return };
         if !decides {
             return self.reply(asker, Reply::busy("no right to"));
         }
--- a/src/coordination/workers.rs
+++ b/src/coordination/workers.rs
@@ -13,6 +13,9 @@
 /// How long a report waits for its machine to be recorded.
 const ADOPT_WAIT: Span = Span::millis(3000);
 
+/// How many machines are told directly at a time to stop a cancelled job's tasks; each takes a socket.
+const MOST_DIRECT_STOPS: usize = 64;
+
 /// A report of a machine whose record waits for its turn to be written.
 pub(super) struct ToAdopt {
     ask: Asker,
@@ -309,6 +312,37 @@
         }
     }
 
+    /// Stops what of a cancelled job has been ordered and has not been seen running, straight away: by its machine's
+    /// next report it may have begun, after its user was told. What runs is stopped in answers to reports.
+    pub(super) fn stop_unstarted(&mut self, shard_id: ShardId, id: &JobId) {
+        let Some(shard) = self.shards.get(&shard_id) else { return };
+        let Some(job) = shard.jobs.get(id) else { return };
+        let mut running: Vec<&(MachineId, AttemptNo)> = job.running.values().collect();
+        running.sort();
+        let mut stops: BTreeMap<&MachineId, Vec<Command>> = BTreeMap::new();
+        for (machine_id, no) in running {
+            let machine = shard.machines.get(machine_id).filter(|machine| machine.proven && !machine.deleting);
+            let attempt = machine.and_then(|machine| machine.attempts.get(no));
+            if let Some(attempt) = attempt.filter(|attempt| !attempt.is_over() && attempt.running_since.is_none()) {
+                let stop = Command::Stop { task: attempt.task.clone(), attempt: *no, grace_s: 0.0 };
+                stops.entry(machine_id).or_default().push(stop);
+            }
+        }
+        let calls: Vec<_> = stops
+            .into_iter()
+            .take(MOST_DIRECT_STOPS)
+            .filter_map(|(id, mut commands)| {
+                let machine = shard.machines.get(id)?;
+                commands.truncate(workers::MOST_COMMANDS);
+                let request = WorkerCall { token: machine.token, session: machine.last.0, commands };
+                Some((id.clone(), machine.addr, request))
+            })
+            .collect();
+        for (id, addr, request) in calls {
+            self.call_worker(shard_id, &id, addr, request);
+        }
+    }
+
     /// Stops what has to give way, straight away rather than at the next report.
     fn make_room(&mut self, shard_id: ShardId) {
         if !self.decides(shard_id) {
