--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -319,10 +319,12 @@
             job.ending = Some(Final::Cancelled);
             self.stop_unstarted(shard_id, &id);
         }
-        let Some(shard) = self.shards.get_mut(&shard_id) else { return };
         if !decides {
             return self.reply(asker, Reply::busy("no right to"));
         }
+        let Some(shard) = self.shards.get_mut(&shard_id) else {
+            return self.reply(asker, Reply::busy("not held here"));
+        };
         let waits = shard.overlap.as_ref().is_some_and(|overlap| !overlap.may_record_cancelled(now));
         if shard.pipelines.contains(&id) {
             return self.cancel_waiting(asker, shard_id, id, waits);
@@ -536,23 +538,21 @@
             self.notes.remove(&note);
             return;
         }
-        match answer {
+        let is_settled = match answer {
             Ok(StateAnswer::Found(entry)) => match serde_json::from_value::<LiveRecord>(entry.value) {
                 Ok(record) if record.decided_in() == shard_id => {
-                    if !self.take_in_read(shard_id, record, entry.version, sent, "was accepted by another node") {
-                        // The note is seen again.
-                        self.notes.remove(&note);
-                        return;
-                    }
+                    self.take_in_read(shard_id, record, entry.version, sent, "was accepted by another node")
                 }
-                _ => {}
+                _ => true,
             },
             // It has ended.
-            Ok(StateAnswer::Missing) => {}
-            _ => {
-                self.notes.remove(&note);
-                return;
-            }
+            Ok(StateAnswer::Missing) => true,
+            _ => false,
+        };
+        if !is_settled {
+            // It is seen again.
+            self.notes.remove(&note);
+            return;
         }
         self.remove_note(shard_id, claim, note, version);
     }
--- a/tests/meetings/walk.rs
+++ b/tests/meetings/walk.rs
@@ -199,9 +199,8 @@
     let threads = std::thread::available_parallelism().map_or(1, |count| count.get() as u64);
     std::thread::scope(|scope| {
         let play = |first: u64| played.clone().skip(first as usize).step_by(threads as usize);
-        let walks: Vec<_> = (0..threads.min(days))
-            .map(|first| scope.spawn(move || play(first).map(|seed| day(seed)).collect::<Vec<_>>()))
-            .collect();
+        let walks: Vec<_> =
+            (0..threads.min(days)).map(|first| scope.spawn(move || play(first).map(day).collect::<Vec<_>>())).collect();
         for walk in walks {
             for (day, failure) in walk.join().expect("a day does not panic") {
                 failures.extend(failure);
