Compare the mood, not a field's name, beside an outstanding end, and repeat a submission while it is accepted

New: a submission that is repeated while its acceptance is on its way, after another node has told that the job is cancelled.

--- a/tests/meetings/scripted.rs
+++ b/tests/meetings/scripted.rs
@@ -146,10 +146,9 @@
         world.run_until(next);
         for job in jobs.iter().filter(|job| is_over(&world, job)).cloned().collect::<Vec<_>>() {
             let reply = world.ask(node, Ask::Poll(job.clone()));
-            let live = |reply: &Reply| {
-                reply.status == 200 && !reply.body.contains("done") && !reply.body.contains("withdrawn")
-            };
-            older += usize::from(reply.is_some_and(|reply| live(&reply)));
+            let says =
+                |mood: &str| reply.as_ref().is_some_and(|reply| reply.body.contains(&format!("\"mood\":\"{mood}\"")));
+            older += usize::from(says("running") || says("pending"));
             ended.insert(job);
         }
     }
@@ -204,3 +203,42 @@
     }
     assert_eq!(started, 0, "starts ordered after a confirmed cancellation");
 }
+
+/// A controller that the others do not hear accepts a job, and its answer from the state service takes long; meanwhile the
+/// job is found and cancelled at the holder, and then submitted once more where it is still being accepted. Gives back what
+/// that is told.
+fn repeated_beside_its_acceptance(seed: u64) -> Option<Reply> {
+    let mut world = World::with_one_shard(seed, [12, 12]);
+    world.run_until(12 * SEC);
+    let node = holder(&world);
+    let far = (node + 1) % 3;
+    world.part(Host::Node(far), far, 60 * SEC, false);
+    world.run_until(16 * SEC);
+    world.state.slow = Some((60 * SEC, 1100 * MS));
+    world.state.slow_node = Some(far);
+    let job = spec(900, JobKind::Array, "free", 1, 1.0);
+    world.add_user(job.clone(), SEC, 900 * SEC, None, false);
+    world.question(far, Ask::Submit(Ok(job.clone())));
+    world.run_until(16 * SEC + 30 * MS);
+    let says = |reply: &Option<Reply>, word: &str| reply.as_ref().is_some_and(|reply| reply.body.contains(word));
+    let accepted = world.hear(node, Ask::Submit(Ok(job.clone())), SEC);
+    assert!(says(&accepted, "pending"), "seed {seed}: {accepted:?}");
+    let cancelled = world.hear(node, Ask::Cancel(job.id.clone()), SEC);
+    assert!(says(&cancelled, "withdrawn"), "seed {seed}: {cancelled:?}");
+    let told = world.hear(far, Ask::Submit(Ok(job)), 4 * SEC);
+    world.run_until(40 * SEC);
+    assert!(world.broken.is_empty(), "seed {seed}: {:?}", world.broken);
+    told
+}
+
+#[test]
+fn a_submission_that_is_repeated_while_it_is_accepted_is_told_what_others_have_told_since() {
+    let mut told = 0;
+    for seed in 0..16 {
+        let reply = repeated_beside_its_acceptance(seed);
+        let older = reply.as_ref().is_some_and(|reply| reply.status < 300 && reply.body.contains("pending"));
+        assert!(!older, "seed {seed}: {reply:?}");
+        told += usize::from(reply.is_some_and(|reply| reply.body.contains("withdrawn")));
+    }
+    assert!(told >= 10, "only {told} of 16 were told that it is cancelled");
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -758,7 +758,8 @@
                 let unanswered = self.state.unanswered.is_some_and(|(to, until)| to == node && self.now < until);
                 if !unanswered && !self.is_answer_lost(&request) {
                     let event = Event::State { call, answer };
-                    match self.state.slow.filter(|(until, _)| self.now < *until) {
+                    let slow = self.state.slow_node.is_none_or(|slow| slow == node);
+                    match self.state.slow.filter(|(until, _)| slow && self.now < *until) {
                         Some((_, most)) => {
                             let at = self.now + self.rng.random_range(0..most);
                             self.at(at, Happening::AnswerArrives { node, life, call, event });
--- a/tests/world/state.rs
+++ b/tests/world/state.rs
@@ -45,6 +45,8 @@
     pub answers_lost: Option<(u64, f64)>,
     /// Until then every answer takes that much longer, at the most.
     pub slow: Option<(u64, u64)>,
+    /// Only that node's answers do.
+    pub slow_node: Option<usize>,
     /// How many transactions were executed late, and succeeded.
     pub written_late: u64,
     /// The limits that hold, the present ones if none: value bytes, changes a transaction, changes a second.
