--- a/tests/simulation/state_service.rs
+++ b/tests/simulation/state_service.rs
@@ -4,6 +4,8 @@
 use crowstall::model::*;
 use crowstall::protocol::CallError;
 use crowstall::protocol::state::{Change, Condition, Entry, LogEntry, StateAnswer, StateCall};
+use crowstall::storage::rate_limiter::RateLimiter;
+use crowstall::time::Time;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
 /// How many entries a page of a list contains at most.
@@ -89,6 +91,8 @@
     pub watch_behaviour: WatchBehaviour,
     /// The limits on requests.
     pub request_limits: RequestLimits,
+    /// How many requests a second are executed, with bursts of one second's worth. None: any number.
+    pub request_rate: Option<RateLimiter>,
     /// Until when no controller gets through.
     pub outage_until: u64,
     /// Until when the requests of each controller are refused.
@@ -120,7 +124,7 @@
     pub delayed_commits_applied: u64,
     /// How many requests came for keys with the refused prefix.
     pub refused_prefix_requests: u64,
-    /// How many requests were refused because of the limit on writes.
+    /// How many requests were refused because of the limits on requests and on writes.
     pub over_limit: u64,
     /// Keys or conditions of the transactions that were rejected for their size.
     pub rejected_for_size: Vec<String>,
@@ -198,6 +202,7 @@
         disabled: DisabledSafeguard,
     ) -> Result<StateAnswer, CallError> {
         self.check_access(now, node, call)?;
+        self.check_request_rate(now)?;
         self.check_write_rate(now, call)?;
         Ok(match call {
             StateCall::Get(key) => self.read(now, node, key, disabled),
@@ -245,6 +250,15 @@
         Ok(())
     }
 
+    /// Refuses requests over the limit on requests.
+    fn check_request_rate(&mut self, now: u64) -> Result<(), CallError> {
+        if self.request_rate.as_mut().is_some_and(|rate| !rate.take(Time(now), 1.0)) {
+            self.over_limit += 1;
+            return Err(CallError::Refused { over_limit: true });
+        }
+        Ok(())
+    }
+
     /// Counts the writes of the current second and refuses what is over the limit.
     fn check_write_rate(&mut self, now: u64, call: &StateCall) -> Result<(), CallError> {
         let second = now / SEC;
