Admit calls to the state service by class of traffic, so that submissions starve neither leases nor reads

What callers saw: at about 4,000 machines polls of accepted jobs got no answer for over a minute, with no fault present.

Cause: every submission, and every retry of one, was written to the state service at once and without a limit. The refused writes used up the requests that lease renewals, leadership checks and reads of records need; node leases expired, no shard was led, and the users' retries kept it so. A refusal by the leader was also turned into a hand-off record by the controller that had forwarded the submission, which costs two writes, a read and a removal more. The class of bug: work without a bound that starves other work, and a retry that amplifies load.

The fix: `state_admission` decides for every call by its class of traffic. Each bounded class has a level of the shared buckets below which it waits, and a floor that it always gets; the floors together are less than the whole. A submission that finds no room gets 429, which is not forwarded to another path, with a Retry-After that grows with the number of those who were turned away. While the leader of a shard cannot be reached its part of the limits is divided evenly, since all accept its jobs.

--- a/src/coordination/controller.rs
+++ b/src/coordination/controller.rs
@@ -16,6 +16,7 @@
 use super::scale_in::RemovedMachines;
 use super::shard::Shard;
 use super::shard_recovery::RecoveryLog;
+use super::state_admission::TrafficClass;
 use super::state_operation::StateOperation;
 use super::user_requests::UserRequests;
 use super::worker_heartbeats::Registrations;
@@ -160,6 +161,12 @@
         }
     }
 
+    /// How often this controller broke an invariant of its own. Each time there is a line in the log, and what would have
+    /// followed was refused.
+    pub fn invariant_violations(&self) -> u64 {
+        self.calls.invariant_violations()
+    }
+
     /// How many jobs and machines were inspected so far while handling heartbeats: a measure of their cost that does not
     /// depend on the clock.
     pub fn inspections(&self) -> u64 {
@@ -175,12 +182,18 @@
     }
 
     /// This node's share of a limit of which the given part is divided evenly among all controllers, and the rest among
-    /// the leaders of the shards that take the teams' jobs.
+    /// the leaders of the shards that take the teams' jobs. While the leader of a shard cannot be reached its part is
+    /// divided evenly too, since every controller then accepts the shard's jobs.
     fn share_of_limit(&self, even_part: f64) -> f64 {
         let nodes = self.settings.nodes.len() as f64;
         let team_shards = self.settings.team_shards();
-        let led_team_shards = self.shards.keys().filter(|shard| shard.0 < team_shards).count();
-        even_part / nodes + (1.0 - even_part) * led_team_shards as f64 / f64::from(team_shards)
+        let part_of = |shard: ShardId| match self.reachable_leader(shard) {
+            _ if self.shards.contains_key(&shard) => 1.0,
+            Some(_) => 0.0,
+            None => 1.0 / nodes,
+        };
+        let parts: f64 = (0..team_shards).map(ShardId).map(part_of).sum();
+        even_part / nodes + (1.0 - even_part) * parts / f64::from(team_shards)
     }
 
     /// The only shard that takes jobs and machines, if there is just one. Then no record has to be read to find out
@@ -218,6 +231,16 @@
         self.calls.push(Action::Send { to, message });
     }
 
+    /// Whether a call of this class may be sent to the state service now. If so it has to be sent at once.
+    pub(super) fn admits(&mut self, class: TrafficClass) -> bool {
+        self.calls.admits(self.now, class)
+    }
+
+    /// Admits the next call of an operation whose first call was admitted.
+    pub(super) fn admit_next_step(&mut self, class: TrafficClass) {
+        self.calls.admit_next_step(self.now, class);
+    }
+
     /// Sends a request to the state service on behalf of the component that `operation` belongs to.
     pub(super) fn call_state(&mut self, request: StateCall, operation: impl Into<StateOperation>) {
         self.calls.send_to_state(self.now, request, operation.into());
@@ -349,9 +372,17 @@
         }
     }
 
+    /// Refuses the calls to the state service that should have been admitted before they were sent.
+    fn refuse_calls_not_admitted(&mut self) {
+        for PendingStateCall { sent, operation, .. } in self.calls.take_not_admitted() {
+            self.complete_state_call(sent, operation, Err(CallError::Refused { over_limit: true }));
+        }
+    }
+
     /// Does what is due in each component: this node's leadership is kept up first, and decisions by it come after.
     fn tick(&mut self) {
         self.share_limits();
+        self.refuse_calls_not_admitted();
         self.failover_tick(self.recoveries.time_since_last_tick(self.now));
         self.leadership_tick();
         self.replica_tick();
--- a/src/coordination/dependencies/operations.rs
+++ b/src/coordination/dependencies/operations.rs
@@ -4,6 +4,7 @@
 use super::super::job_record_reads::{JobRecordKind, VersionedRecord};
 use super::super::user_requests::{NewJob, Submission};
 use crate::coordination::leadership_term::LeadershipTerm;
+use crate::coordination::state_admission::TrafficClass;
 use crate::model::JobId;
 use crate::storage::records::{EndRecord, LiveRecord};
 use std::collections::HashSet;
@@ -27,6 +28,18 @@
 }
 
 impl DependencyOperation {
+    /// The class of traffic by which the call is admitted.
+    pub fn traffic_class(&self) -> TrafficClass {
+        match self {
+            DependencyOperation::WaitingJob { .. } => TrafficClass::WaitingRecord,
+            DependencyOperation::ListFinalRecords { .. } => TrafficClass::BackgroundRead,
+            DependencyOperation::ReadPart(_) => TrafficClass::Recovery,
+            DependencyOperation::WriteParts(_) => TrafficClass::Acceptance,
+            DependencyOperation::RemovePart => TrafficClass::StaleRecord,
+            DependencyOperation::CheckPrerequisite(_) | DependencyOperation::Traverse(_) => TrafficClass::RecordRead,
+        }
+    }
+
     /// The term that was a condition of the transaction, if there was one.
     pub fn leadership_condition(&self) -> Option<LeadershipTerm> {
         match self {
--- a/src/coordination/dependencies/prerequisite_check.rs
+++ b/src/coordination/dependencies/prerequisite_check.rs
@@ -4,6 +4,7 @@
 use super::super::job_record_reads::{JobRecordAnswer, JobRecordKind};
 use super::super::user_requests::Submission;
 use super::operations::{DependencyOperation, PrerequisiteCheck};
+use crate::coordination::state_admission::TrafficClass;
 use crate::model::{FinalState, JobId, JobKind, JobSpec};
 use crate::protocol::Reply;
 use crate::protocol::state::StateResult;
@@ -71,7 +72,7 @@
             self.remove_done_prerequisites(&mut check.submission.spec);
             return self.accept(check.submission);
         };
-        if !self.calls.request_limiter.take(self.now, 0.0) {
+        if !self.admits(TrafficClass::RecordRead) {
             return self.reply(check.submission.requester, Reply::busy("too many questions"));
         }
         let request = check.reading.request(prerequisite);
--- a/src/coordination/dependencies/prerequisite_ends.rs
+++ b/src/coordination/dependencies/prerequisite_ends.rs
@@ -4,14 +4,12 @@
 use super::operations::DependencyOperation;
 use crate::coordination::leadership_term::LeadershipTerm;
 use crate::coordination::shard::Shard;
+use crate::coordination::state_admission::TrafficClass;
 use crate::model::{FinalState, JobId, ShardId};
 use crate::protocol::state::StateResult;
 use crate::protocol::state::{StateAnswer, StateCall};
 use crate::storage::keys;
 
-/// The share of a burst of requests that must be left before final records are listed.
-const MIN_SPARE_SHARE: f64 = 0.25;
-
 impl Controller {
     /// Notes how a job has ended that others may depend on. All shards of this node take it into account; the leaders
     /// of other shards find it in the records.
@@ -32,7 +30,7 @@
     pub(super) fn find_prerequisite_ends(&mut self, shard_id: ShardId) {
         let now = self.now;
         self.use_known_ends(shard_id);
-        if !self.calls.request_limiter.is_filled_to(now, MIN_SPARE_SHARE) {
+        if !self.admits(TrafficClass::BackgroundRead) {
             return;
         }
         if let Some(first) = self.shards.get_mut(&shard_id).and_then(|shard| shard.dependencies.begin_scan(now)) {
@@ -75,6 +73,7 @@
             self.prerequisite_ended(&prerequisite.job, state);
         }
         if let Some(next) = page.next {
+            self.admit_next_step(TrafficClass::BackgroundRead);
             self.list_final_records(shard_id, &next);
         }
     }
--- a/src/coordination/dependencies/prerequisite_parts.rs
+++ b/src/coordination/dependencies/prerequisite_parts.rs
@@ -4,6 +4,7 @@
 use super::super::job_record_reads::VersionedRecord;
 use super::super::user_requests::NewJob;
 use super::operations::{DependencyOperation, PartRead};
+use crate::coordination::state_admission::TrafficClass;
 use crate::model::ShardId;
 use crate::protocol::state::StateResult;
 use crate::protocol::state::{Condition, StateAnswer, StateCall};
@@ -57,7 +58,10 @@
     /// Handles the answer to a write of parts.
     pub(super) fn parts_written(&mut self, new_job: NewJob, answer: StateResult) {
         match answer {
-            Ok(StateAnswer::Committed(_)) => self.write_parts(new_job),
+            Ok(StateAnswer::Committed(_)) => {
+                self.admit_next_step(TrafficClass::Acceptance);
+                self.write_parts(new_job);
+            }
             answer => self.accept_answered(new_job, answer),
         }
     }
--- a/src/coordination/dependencies/traversal.rs
+++ b/src/coordination/dependencies/traversal.rs
@@ -7,6 +7,7 @@
 use super::super::user_requests::{final_reply, state_reply};
 use super::final_record::cancelled_before_start;
 use super::operations::{DependencyOperation, DependencyTraversal, TraversalRead};
+use crate::coordination::state_admission::TrafficClass;
 use crate::model::{FinalState, JobId};
 use crate::protocol::Reply;
 use crate::protocol::state::StateResult;
@@ -80,7 +81,7 @@
     /// Reads a record of the next job.
     fn read_in_traversal(&mut self, mut read: TraversalRead) {
         read.traversal.read_count += 1;
-        if read.traversal.read_count > MAX_READS || !self.calls.request_limiter.take(self.now, 0.0) {
+        if read.traversal.read_count > MAX_READS || !self.admits(TrafficClass::RecordRead) {
             return self.reply(read.traversal.requester, Reply::busy(TOO_MANY_JOBS));
         }
         let request = read.reading.request(&read.job);
--- a/src/coordination/dependencies/waiting_records.rs
+++ b/src/coordination/dependencies/waiting_records.rs
@@ -7,6 +7,7 @@
 use super::final_record::{cancelled_before_start, final_record_request};
 use super::operations::{DependencyOperation, WaitingRecordOperation};
 use crate::coordination::leadership_term::LeadershipTerm;
+use crate::coordination::state_admission::TrafficClass;
 use crate::model::{JobId, Revision, ShardId};
 use crate::protocol::state::StateResult;
 use crate::protocol::state::{Change, Condition, StateAnswer, StateCall};
@@ -14,9 +15,6 @@
 use crate::storage::keys;
 use crate::storage::records::{EndRecord, to_value};
 
-/// The share of a burst of requests and changes that must be left before records are written that can wait.
-const MIN_SPARE_SHARE: f64 = 0.5;
-
 impl Controller {
     /// Writes or reads the records of waiting jobs that are due, as far as the rate limits allow.
     pub(super) fn write_due_records(&mut self, shard_id: ShardId) {
@@ -34,14 +32,10 @@
 
     /// Whether the rate limits leave room for a record. What can wait must not delay anything else.
     fn limits_allow_write(&mut self, urgency: WriteUrgency) -> bool {
-        let now = self.now;
-        let (requests, writes) = (&mut self.calls.request_limiter, &mut self.calls.write_limiter);
-        match urgency {
-            WriteUrgency::Awaited => requests.allows_urgent(now) && writes.allows_urgent(now),
-            WriteUrgency::Deferrable => {
-                requests.is_filled_to(now, MIN_SPARE_SHARE) && writes.is_filled_to(now, MIN_SPARE_SHARE)
-            }
-        }
+        self.admits(match urgency {
+            WriteUrgency::Awaited => TrafficClass::FinalRecord,
+            WriteUrgency::Deferrable => TrafficClass::BackgroundWrite,
+        })
     }
 
     /// Writes what has become of a waiting job, or reads its record if that is not known.
--- a/src/coordination/forecasts/snapshots.rs
+++ b/src/coordination/forecasts/snapshots.rs
@@ -6,6 +6,7 @@
 use super::super::controller::Controller;
 use super::store::ForecastStore;
 use crate::coordination::leadership_term::LeadershipTerm;
+use crate::coordination::state_admission::TrafficClass;
 use crate::model::{Name, Revision, ShardId};
 use crate::protocol::CallError;
 use crate::protocol::state::StateResult;
@@ -15,9 +16,6 @@
 use crate::time::{Span, Time};
 use crowstall_forecast::snapshot::{self, MergeOutcome};
 
-/// Which share of the rate limits' burst must be left before a call is sent for snapshots.
-const MIN_SPARE_SHARE: f64 = 0.5;
-
 /// How long a failed call is not repeated at first. The pause doubles with each failure.
 const MIN_RETRY_PAUSE: Span = Span::millis(10_000);
 
@@ -156,7 +154,7 @@
     pub(super) fn snapshot_tick(&mut self, id: ShardId, now: Time) {
         let Some(store) = self.forecasts.as_ref().and_then(|forecasts| forecasts.stores.get(&id)) else { return };
         let (leadership, version) = (LeadershipTerm { shard: id, term: store.term }, store.snapshot.version);
-        if !store.snapshot.is_due(now) || !self.may_decide(id) || !self.has_spare_calls(now) {
+        if !store.snapshot.is_due(now) || !self.may_decide(id) || !self.admits(TrafficClass::BackgroundWrite) {
             return;
         }
         match version {
@@ -165,11 +163,6 @@
         }
     }
 
-    fn has_spare_calls(&mut self, now: Time) -> bool {
-        self.calls.request_limiter.is_filled_to(now, MIN_SPARE_SHARE)
-            && self.calls.write_limiter.is_filled_to(now, MIN_SPARE_SHARE)
-    }
-
     fn load_first_snapshots(&mut self, leadership: LeadershipTerm) {
         let Some(store) = self.forecasts.as_mut().and_then(|forecasts| forecasts.store_in_term(leadership)) else {
             return;
@@ -220,7 +213,10 @@
         // The call counts as in flight until all pages are read, so that nothing is written before.
         store.snapshot.version = own_version.or(store.snapshot.version);
         match entries.last() {
-            Some(last) if more => self.load_snapshots(leadership, Some(last.key.clone())),
+            Some(last) if more => {
+                self.admit_next_step(TrafficClass::BackgroundWrite);
+                self.load_snapshots(leadership, Some(last.key.clone()));
+            }
             _ => {
                 let version = store.snapshot.version.unwrap_or(Revision(0));
                 store.snapshot.succeeded(version);
--- a/src/coordination/job_persistence/end_of_job.rs
+++ b/src/coordination/job_persistence/end_of_job.rs
@@ -3,11 +3,23 @@
 use super::JobRecordOperation;
 use crate::coordination::controller::Controller;
 use crate::coordination::dependencies::final_record_request;
+use crate::coordination::state_admission::TrafficClass;
 use crate::model::{FinalState, JobId, ShardId};
 use crate::protocol::CallError;
 use crate::protocol::state::{StateAnswer, StateResult};
 use crate::storage::records::EndRecord;
 
+/// What became of an attempt to write a final record.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(in crate::coordination) enum EndWrite {
+    /// The write was sent.
+    Sent,
+    /// There is nothing to be written, or it has to wait for something else.
+    NotDue,
+    /// The state service's limits leave no room for it now.
+    NotAdmitted,
+}
+
 impl Controller {
     /// Starts recording the end of every job whose tasks are all done.
     pub(in crate::coordination) fn finish_jobs(&mut self, shard_id: ShardId) {
@@ -30,34 +42,48 @@
     pub(super) fn write_ends(&mut self, shard_id: ShardId, ready: Vec<JobId>) {
         let now = self.now;
         for id in ready {
-            if !self.calls.request_limiter.allows_urgent(now) || !self.calls.write_limiter.allows_urgent(now) {
+            if self.write_end(shard_id, &id) == EndWrite::NotAdmitted {
                 return;
             }
             if let Some(job) = self.job_mut(shard_id, &id) {
                 job.record.last_write = now;
             }
-            self.write_end(shard_id, &id);
         }
     }
 
-    /// Writes the final record of a job that is ending, unless that has to wait.
-    pub(in crate::coordination) fn write_end(&mut self, shard_id: ShardId, id: &JobId) {
+    /// Writes the final record of a job that is ending, unless that has to wait. What is not admitted is written by a
+    /// later round.
+    pub(in crate::coordination) fn write_end(&mut self, shard_id: ShardId, id: &JobId) -> EndWrite {
+        let Some(state) = self.final_state_to_write(shard_id, id) else { return EndWrite::NotDue };
+        if !self.admits(TrafficClass::FinalRecord) {
+            return EndWrite::NotAdmitted;
+        }
+        self.send_end(shard_id, id, state);
+        EndWrite::Sent
+    }
+
+    /// The final state that may be recorded now, if the job is ending.
+    fn final_state_to_write(&self, shard_id: ShardId, id: &JobId) -> Option<FinalState> {
         if !self.may_decide(shard_id) {
-            return;
+            return None;
         }
         let now = self.now;
-        let Some(shard) = self.shards.get_mut(&shard_id) else { return };
-        let leadership = shard.leadership_term();
-        let Some(job) = shard.jobs.get_mut(id) else { return };
-        let Some(state) = job.ending else { return };
+        let shard = self.shards.get(&shard_id)?;
+        let job = shard.jobs.get(id)?;
+        let state = job.ending?;
         // A deposed leader that does not know yet that it was replaced might still reply with an earlier state.
         let overlaps = shard.leadership.overlap.as_ref().is_some_and(|overlap| match state {
             FinalState::Done => !overlap.may_record_done(now),
             FinalState::Cancelled => !overlap.may_record_cancelled(now),
         });
-        if job.record.call_in_flight || job.record.outcome_unknown || overlaps {
-            return;
-        }
+        let may_write = !job.record.call_in_flight && !job.record.outcome_unknown && !overlaps;
+        may_write.then_some(state)
+    }
+
+    fn send_end(&mut self, shard_id: ShardId, id: &JobId, state: FinalState) {
+        let Some(shard) = self.shards.get_mut(&shard_id) else { return };
+        let leadership = shard.leadership_term();
+        let Some(job) = shard.jobs.get_mut(id) else { return };
         job.record.call_in_flight = true;
         job.record.refused = false;
         let end = EndRecord { state, done: job.progress.done.len(), cause: None };
--- a/src/coordination/job_persistence/mod.rs
+++ b/src/coordination/job_persistence/mod.rs
@@ -7,6 +7,7 @@
 use super::controller::Controller;
 use super::leadership_term::LeadershipTerm;
 use super::shard::{Job, RecordedProgress};
+use super::state_admission::TrafficClass;
 use crate::model::{FinalState, JobId, ShardId};
 use crate::protocol::Reply;
 use crate::protocol::state::{StateCall, StateResult};
@@ -34,6 +35,18 @@
     pub operation: JobRecordOperation,
 }
 
+impl JobOperation {
+    /// The class of traffic by which the call is admitted.
+    pub fn traffic_class(&self) -> TrafficClass {
+        match self.operation {
+            JobRecordOperation::WriteProgress(_) => TrafficClass::Progress,
+            JobRecordOperation::WriteEnd(_) | JobRecordOperation::ReadLive | JobRecordOperation::ReadEnd => {
+                TrafficClass::FinalRecord
+            }
+        }
+    }
+}
+
 /// The jobs of a shard whose records have to be read or written, each list in the order in which that is done.
 struct DueRecords {
     /// Jobs with a write whose outcome is not known.
--- a/src/coordination/job_persistence/progress.rs
+++ b/src/coordination/job_persistence/progress.rs
@@ -3,6 +3,7 @@
 use super::JobRecordOperation;
 use crate::coordination::controller::Controller;
 use crate::coordination::shard::{Job, RecordSize, RecordedProgress};
+use crate::coordination::state_admission::TrafficClass;
 use crate::model::{JobId, Revision, ShardId};
 use crate::protocol::CallError;
 use crate::protocol::state::{Change, Condition, StateAnswer, StateCall, StateResult};
@@ -13,10 +14,6 @@
 /// The status with which the state service refuses a value that is too large.
 const STATUS_TOO_LARGE: u16 = 400;
 
-/// How many changes a write of progress takes from the rate limiter beyond the change itself, so that writes that are
-/// more urgent find room.
-const PROGRESS_WRITE_SURCHARGE: f64 = 0.5;
-
 /// How many bytes of a record are kept free beyond the ranges of completed tasks.
 const RECORD_SIZE_MARGIN: usize = 16;
 
@@ -47,7 +44,7 @@
 impl Controller {
     pub(super) fn write_progress_of(&mut self, shard_id: ShardId, ids: Vec<JobId>) {
         for id in ids {
-            if !self.calls.write_limiter.take(self.now, PROGRESS_WRITE_SURCHARGE) {
+            if !self.admits(TrafficClass::Progress) {
                 return;
             }
             self.write_progress(shard_id, &id);
--- a/src/coordination/job_persistence/unknown_outcome.rs
+++ b/src/coordination/job_persistence/unknown_outcome.rs
@@ -3,6 +3,7 @@
 use super::JobRecordOperation;
 use crate::coordination::controller::Controller;
 use crate::coordination::leadership_term::LeadershipTerm;
+use crate::coordination::state_admission::TrafficClass;
 use crate::model::{JobId, ShardId};
 use crate::protocol::state::{Entry, StateAnswer, StateCall, StateResult};
 use crate::storage::keys;
@@ -11,6 +12,9 @@
 impl Controller {
     pub(super) fn read_records(&mut self, shard_id: ShardId, ids: Vec<JobId>) {
         for id in ids {
+            if !self.admits(TrafficClass::FinalRecord) {
+                return;
+            }
             self.read_live_record(shard_id, &id);
         }
     }
@@ -51,6 +55,7 @@
         let shard_id = leadership.shard;
         let Some(job) = self.job_mut(shard_id, id) else { return };
         job.record.call_in_flight = true;
+        self.admit_next_step(TrafficClass::FinalRecord);
         let request = StateCall::Get(keys::end_key(id));
         self.call_for_job(leadership, id, request, JobRecordOperation::ReadEnd);
     }
@@ -61,7 +66,9 @@
         };
         match serde_json::from_value::<EndRecord>(entry.value) {
             Ok(end) => self.job_ended(shard_id, id, end.state),
-            Err(_) => self.write_end(shard_id, id),
+            Err(_) => {
+                self.write_end(shard_id, id);
+            }
         }
     }
 }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -29,6 +29,7 @@
 mod scale_out;
 mod shard;
 mod shard_recovery;
+mod state_admission;
 mod state_operation;
 mod user_requests;
 mod waiting_jobs;
--- a/src/coordination/outbound_calls.rs
+++ b/src/coordination/outbound_calls.rs
@@ -2,13 +2,13 @@
 
 use super::events::{Action, OutboundCallId};
 use super::pending_calls::{CloudOperation, PendingWorkerCall};
+use super::state_admission::{StateAdmission, TrafficClass};
 use super::state_operation::StateOperation;
 use crate::config::Settings;
 use crate::protocol::CallError;
 use crate::protocol::cloud::CloudCall;
 use crate::protocol::state::{StateCall, StateResult};
 use crate::protocol::workers::WorkerCall;
-use crate::storage::rate_limiter::RateLimiter;
 use crate::storage::write_usage::{RecordKind, WriteUsage};
 use crate::time::{Span, Time};
 use std::collections::HashMap;
@@ -35,10 +35,12 @@
     state_calls: HashMap<OutboundCallId, PendingStateCall>,
     cloud_calls: HashMap<OutboundCallId, CloudOperation>,
     worker_calls: HashMap<OutboundCallId, PendingWorkerCall>,
-    /// This node's share of the state service's limit on requests.
-    pub request_limiter: RateLimiter,
-    /// This node's share of the state service's limit on changes.
-    pub write_limiter: RateLimiter,
+    /// This node's share of the state service's limits.
+    admission: StateAdmission,
+    /// How many calls should have been admitted before and were not.
+    invariant_violations: u64,
+    /// Calls to the state service that were not sent, since they should have been admitted before and were not.
+    not_admitted: Vec<PendingStateCall>,
     /// How many changes per second the state service allows: the present limit until it refuses a request, then the
     /// announced stricter one.
     changes_per_second: f64,
@@ -56,8 +58,9 @@
             state_calls: HashMap::new(),
             cloud_calls: HashMap::new(),
             worker_calls: HashMap::new(),
-            request_limiter: RateLimiter::new(settings.state_rps, settings.state_rps),
-            write_limiter: RateLimiter::new(settings.state_writes, settings.state_writes),
+            admission: StateAdmission::new(settings.state_rps, settings.state_writes),
+            invariant_violations: 0,
+            not_admitted: Vec::new(),
             changes_per_second: settings.state_writes_now,
             usage: WriteUsage::default(),
             usage_logged_at: now,
@@ -80,12 +83,36 @@
         OutboundCallId(self.last_call)
     }
 
-    /// Sends a request to the state service, even if that exceeds this node's share of the limits. Later requests that
-    /// can wait make up for it.
+    /// Whether a call of this class may be sent to the state service now. If so it has to be sent at once.
+    pub fn admits(&mut self, now: Time, class: TrafficClass) -> bool {
+        self.admission.admits(now, class)
+    }
+
+    /// Whether a call to the state service that can wait would be admitted.
+    pub fn is_quiet(&mut self, now: Time) -> bool {
+        self.admission.is_quiet(now)
+    }
+
+    /// Returns after how many seconds a client whose call was not admitted should retry.
+    pub fn retry_after(&mut self, now: Time, class: TrafficClass) -> u32 {
+        self.admission.retry_after(now, class)
+    }
+
+    /// Admits the next call of an operation whose first call was admitted.
+    pub fn admit_next_step(&mut self, now: Time, class: TrafficClass) {
+        self.admission.admit_next_step(now, class);
+    }
+
+    /// Sends a request to the state service. One of a bounded class that was not admitted is refused instead, which is
+    /// an error in this program.
     pub fn send_to_state(&mut self, now: Time, request: StateCall, operation: StateOperation) {
+        if let Err(error) = self.admission.send(now, operation.traffic_class(), request.writes()) {
+            log::error!("invariant violated: {error}: {request:?}");
+            self.invariant_violations += 1;
+            self.not_admitted.push(PendingStateCall { sent: now, operation, record_kinds: Vec::new() });
+            return;
+        }
         let call = self.next_call_id();
-        self.request_limiter.take_on_credit(now, 1.0);
-        self.write_limiter.take_on_credit(now, request.writes() as f64);
         let record_kinds = match &request {
             StateCall::Commit { changes, .. } => self.usage.sent(changes),
             _ => Vec::new(),
@@ -94,6 +121,16 @@
         self.actions.push(Action::State { call, request });
     }
 
+    /// How often this program broke a rule of its own, and refused what would have followed.
+    pub fn invariant_violations(&self) -> u64 {
+        self.invariant_violations
+    }
+
+    /// Takes out the calls that were not sent because they had not been admitted.
+    pub fn take_not_admitted(&mut self) -> Vec<PendingStateCall> {
+        std::mem::take(&mut self.not_admitted)
+    }
+
     /// Sends a request to the cloud.
     pub fn send_to_cloud(&mut self, request: CloudCall, operation: CloudOperation) {
         let call = self.next_call_id();
@@ -135,15 +172,13 @@
     /// Sets this node's share of the state service's limits.
     pub fn set_share(&mut self, requests_per_second: f64, share_of_changes: f64) {
         let changes_per_second = self.changes_per_second * share_of_changes;
-        self.request_limiter.set_rate(requests_per_second, requests_per_second);
-        self.write_limiter.set_rate(changes_per_second, changes_per_second);
+        self.admission.set_rates(requests_per_second, changes_per_second);
     }
 
     /// The state service refused a request because a limit was exceeded. Returns whether the stricter limit on
     /// changes applies from now on.
     pub fn limit_exceeded(&mut self, now: Time, stricter_changes_per_second: f64) -> bool {
-        self.request_limiter.drain(now);
-        self.write_limiter.drain(now);
+        self.admission.limit_exceeded(now);
         let becomes_stricter = self.changes_per_second > stricter_changes_per_second;
         if becomes_stricter {
             log::info!(
@@ -160,9 +195,24 @@
             return;
         }
         self.usage_logged_at = now;
+        self.log_admission(now);
         if !self.usage.is_empty() {
             log::info!("records written to the state service in the last minute: {}", self.usage);
             self.usage.clear();
         }
     }
+
+    /// Logs what is left of this node's share of the limits, if calls had to wait.
+    fn log_admission(&mut self, now: Time) {
+        let deferred = self.admission.take_deferred();
+        if deferred.is_empty() {
+            return;
+        }
+        let deferred: Vec<String> = deferred.iter().map(|(class, count)| format!("{class}: {count}")).collect();
+        let (requests, writes) = self.admission.levels(now);
+        log::info!(
+            "calls to the state service not admitted in the last minute: {}; left of this node's share: {requests:.0} requests, {writes:.0} changes",
+            deferred.join("; ")
+        );
+    }
 }
--- a/src/coordination/replica.rs
+++ b/src/coordination/replica.rs
@@ -6,6 +6,7 @@
 
 use super::controller::Controller;
 use super::leadership_term::LeadershipTerm;
+use super::state_admission::TrafficClass;
 use crate::config::Settings;
 use crate::model::{MachineId, Revision, ShardId};
 use crate::protocol::state::StateResult;
@@ -24,8 +25,6 @@
 const RETENTION: Span = Span::millis(10_000);
 /// How often the size and the cost of the replica are logged.
 const STATUS_LOG_INTERVAL: Span = Span::millis(60_000);
-/// Which share of a burst of requests must be unused before the replica is updated, unless a shard waits for it.
-const MIN_SPARE_REQUESTS: f64 = 0.25;
 
 /// The kind of records that a request for the replica is about.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -233,10 +232,11 @@
 
     /// Asks for the changes of the records.
     fn poll_replica(&mut self, timing: PollTiming) {
-        if timing == PollTiming::WhenDue && !self.calls.request_limiter.is_filled_to(self.now, MIN_SPARE_REQUESTS) {
+        if timing == PollTiming::WhenDue && !self.admits(TrafficClass::BackgroundRead) {
             return;
         }
         for (records, watch_request) in self.replica.next_requests(self.now, timing) {
+            self.admit_next_step(TrafficClass::BackgroundRead);
             let prefix = records.prefix();
             let request = match watch_request {
                 WatchRequest::List { after } => StateCall::List { prefix, after },
--- a/src/coordination/scale_in/stale_records.rs
+++ b/src/coordination/scale_in/stale_records.rs
@@ -6,6 +6,7 @@
 use super::super::worker_heartbeats::MachineOperation;
 use crate::coordination::leadership_term::LeadershipTerm;
 use crate::coordination::shard::Shard;
+use crate::coordination::state_admission::TrafficClass;
 use crate::model::{MachineId, Revision, ShardId};
 use crate::protocol::state::StateResult;
 use crate::protocol::state::{Change, Condition, StateCall};
@@ -14,8 +15,6 @@
 
 /// How many records are removed at once while hardly anything else is written.
 const MAX_REMOVALS_AT_ONCE: usize = 4;
-/// How much of a burst the rate limiters must have left for that.
-const SPARE_BURST_SHARE: f64 = 0.5;
 /// The time between two removals otherwise.
 const REMOVAL_INTERVAL: Span = Span::millis(300);
 
@@ -24,12 +23,11 @@
     /// most removals would be refused again and again, and all other writes along with them.
     pub(in crate::coordination) fn remove_stale_machine_records(&mut self, id: ShardId) {
         let now = self.now;
-        let is_quiet = self.calls.request_limiter.is_filled_to(now, SPARE_BURST_SHARE)
-            && self.calls.write_limiter.is_filled_to(now, SPARE_BURST_SHARE);
+        let is_quiet = self.calls.is_quiet(now);
         let Some(leadership) = self.shards.get(&id).map(Shard::leadership_term) else { return };
         for _ in 0..if is_quiet { MAX_REMOVALS_AT_ONCE } else { 1 } {
             let is_due = is_quiet || now.since(self.removed_machines.last_record_removal) >= REMOVAL_INTERVAL;
-            if !is_due || !self.calls.write_limiter.take(now, 0.0) || !self.remove_one_record(leadership) {
+            if !is_due || !self.admits(TrafficClass::StaleRecord) || !self.remove_one_record(leadership) {
                 return;
             }
             self.removed_machines.last_record_removal = now;
--- a/src/coordination/state_operation.rs
+++ b/src/coordination/state_operation.rs
@@ -7,6 +7,7 @@
 use super::leadership_term::LeadershipTerm;
 use super::replica::ReplicatedRecords;
 use super::shard_recovery::RecoveryOperation;
+use super::state_admission::TrafficClass;
 use super::user_requests::UserOperation;
 use super::worker_heartbeats::MachineOperation;
 use crate::model::{MachineId, ShardId};
@@ -32,6 +33,20 @@
 }
 
 impl StateOperation {
+    /// The class of traffic by which the call is admitted.
+    pub fn traffic_class(&self) -> TrafficClass {
+        match self {
+            StateOperation::Leadership(_) => TrafficClass::Leadership,
+            StateOperation::Recovery(_) => TrafficClass::Recovery,
+            StateOperation::Replica(_) => TrafficClass::BackgroundRead,
+            StateOperation::User(operation) => operation.traffic_class(),
+            StateOperation::Job(operation) => operation.traffic_class(),
+            StateOperation::Dependency(operation) => operation.traffic_class(),
+            StateOperation::Machine(operation) => operation.traffic_class(),
+            StateOperation::Forecast(_) => TrafficClass::BackgroundWrite,
+        }
+    }
+
     /// The leadership term that was a condition of the transaction, if there was one: a commit then shows that the
     /// term still stood.
     pub fn leadership_condition(&self) -> Option<LeadershipTerm> {
--- a/src/coordination/user_requests/acceptance.rs
+++ b/src/coordination/user_requests/acceptance.rs
@@ -6,6 +6,7 @@
 use super::new_job::{AcceptancePath, NewJob, RecordTooLarge, Submission};
 use super::operations::{LookupPurpose, UserOperation};
 use super::views::state_reply;
+use crate::coordination::state_admission::TrafficClass;
 use crate::model::{JobId, Revision, ShardId};
 use crate::protocol::Reply;
 use crate::protocol::state::StateResult;
@@ -54,6 +55,10 @@
         if self.users.is_accepting(&spec.id) {
             return self.users.await_acceptance(&spec.id, requester);
         }
+        if !self.admits(TrafficClass::Acceptance) {
+            let retry_after = self.calls.retry_after(self.now, TrafficClass::Acceptance);
+            return self.reply(requester, Reply::overloaded("too many submissions", retry_after));
+        }
         match NewJob::new(shard, term, spec, path, self.wall_clock_ms, self.settings.value_bytes) {
             Ok(new_job) => {
                 self.users.await_acceptance(new_job.id(), requester);
--- a/src/coordination/user_requests/handoff.rs
+++ b/src/coordination/user_requests/handoff.rs
@@ -5,6 +5,7 @@
 use super::adoption::{Adoption, AdoptionSource};
 use super::operations::{HandoffRecord, UserOperation};
 use crate::coordination::leadership_term::LeadershipTerm;
+use crate::coordination::state_admission::TrafficClass;
 use crate::model::{Revision, ShardId};
 use crate::protocol::state::StateResult;
 use crate::protocol::state::{Change, Condition, StateCall};
@@ -16,12 +17,14 @@
     pub(in crate::coordination) fn handoff_seen(&mut self, key: &str, version: Revision) {
         let Some((shard_id, job)) = keys::parse_handoff(key) else { return };
         let Some(shard) = self.shards.get(&shard_id).filter(|shard| shard.is_active()) else { return };
-        if !self.may_decide(shard_id) || !self.users.begin_handoff(key) {
+        let leadership = shard.leadership_term();
+        let is_known = shard.has(&job) || self.directory.has_ended(&job);
+        if !self.may_decide(shard_id) || self.users.is_handling(key) || !self.admits(TrafficClass::Adoption) {
             return;
         }
-        let leadership = shard.leadership_term();
+        self.users.begin_handoff(key);
         let handoff = HandoffRecord { key: key.to_string(), version };
-        if shard.has(&job) || self.directory.has_ended(&job) {
+        if is_known {
             return self.remove_handoff(leadership, handoff);
         }
         let operation = UserOperation::ReadHandoff { leadership, handoff, sent: self.now };
@@ -41,7 +44,10 @@
             return self.users.finish_handoff(&handoff.key);
         }
         match self.adopt_handed_off(shard_id, sent, answer) {
-            Adoption::Settled => self.remove_handoff(leadership, handoff),
+            Adoption::Settled => {
+                self.admit_next_step(TrafficClass::Adoption);
+                self.remove_handoff(leadership, handoff);
+            }
             // The hand-off record stays and is seen again.
             Adoption::Retry => self.users.finish_handoff(&handoff.key),
         }
--- a/src/coordination/user_requests/lookup.rs
+++ b/src/coordination/user_requests/lookup.rs
@@ -6,6 +6,7 @@
 use super::adoption::{Adoption, AdoptionSource};
 use super::operations::{JobLookup, LookupPurpose, UserOperation};
 use super::views::{final_reply, state_reply};
+use crate::coordination::state_admission::TrafficClass;
 use crate::model::{JobId, ShardId};
 use crate::protocol::Reply;
 use crate::protocol::peers::ForwardedRequest;
@@ -17,8 +18,7 @@
 impl Controller {
     /// Answers a request from the job's records.
     pub(in crate::coordination) fn look_up_job(&mut self, requester: Requester, job: JobId, purpose: LookupPurpose) {
-        // Reads for users must not use up the requests that leases and records need.
-        if !self.calls.request_limiter.take(self.now, 0.0) {
+        if !self.admits(TrafficClass::RecordRead) {
             return self.reply(requester, Reply::busy("too many questions"));
         }
         self.read_record(JobLookup { requester, job, purpose, reading: JobRecordKind::Live, sent: self.now });
@@ -35,7 +35,10 @@
         match lookup.reading.interpret(answer) {
             JobRecordAnswer::Live(found) => self.live_record_found(lookup, *found),
             JobRecordAnswer::Final(end) => self.final_record_found(lookup, end),
-            JobRecordAnswer::NotLive => self.read_record(JobLookup { reading: JobRecordKind::Final, ..lookup }),
+            JobRecordAnswer::NotLive => {
+                self.admit_next_step(TrafficClass::RecordRead);
+                self.read_record(JobLookup { reading: JobRecordKind::Final, ..lookup });
+            }
             JobRecordAnswer::NoSuchJob => self.job_not_found(lookup),
             JobRecordAnswer::Unreadable(_) => self.reply(lookup.requester, Reply::busy("its record can't be read")),
             JobRecordAnswer::Unanswered => self.reply(lookup.requester, Reply::busy("state not reachable")),
--- a/src/coordination/user_requests/mod.rs
+++ b/src/coordination/user_requests/mod.rs
@@ -62,9 +62,14 @@
         self.accepting.remove(job).unwrap_or_default()
     }
 
-    /// Notes that a hand-off record is being handled. Returns whether it was not before.
-    fn begin_handoff(&mut self, key: &str) -> bool {
-        self.handoffs_in_flight.insert(key.to_string())
+    /// Whether a hand-off record is being handled.
+    fn is_handling(&self, key: &str) -> bool {
+        self.handoffs_in_flight.contains(key)
+    }
+
+    /// Notes that a hand-off record is being handled.
+    fn begin_handoff(&mut self, key: &str) {
+        self.handoffs_in_flight.insert(key.to_string());
     }
 
     /// Notes that a hand-off record is not being handled any more. If it still exists it will be seen again.
--- a/src/coordination/user_requests/operations.rs
+++ b/src/coordination/user_requests/operations.rs
@@ -4,6 +4,7 @@
 use super::super::job_record_reads::JobRecordKind;
 use super::new_job::NewJob;
 use crate::coordination::leadership_term::LeadershipTerm;
+use crate::coordination::state_admission::TrafficClass;
 use crate::model::{JobId, Revision};
 use crate::protocol::Reply;
 use crate::time::Time;
@@ -21,6 +22,15 @@
 }
 
 impl UserOperation {
+    /// The class of traffic by which the call is admitted.
+    pub fn traffic_class(&self) -> TrafficClass {
+        match self {
+            UserOperation::LookUp(_) => TrafficClass::RecordRead,
+            UserOperation::Accept(_) => TrafficClass::Acceptance,
+            UserOperation::ReadHandoff { .. } | UserOperation::RemoveHandoff { .. } => TrafficClass::Adoption,
+        }
+    }
+
     /// The term that was a condition of the transaction, if there was one.
     pub fn leadership_condition(&self) -> Option<LeadershipTerm> {
         match self {
--- a/src/coordination/worker_heartbeats/mod.rs
+++ b/src/coordination/worker_heartbeats/mod.rs
@@ -12,6 +12,7 @@
 use super::events::Requester;
 use super::shard::EarlyHeartbeat;
 use crate::coordination::leadership_term::LeadershipTerm;
+use crate::coordination::state_admission::TrafficClass;
 use crate::model::{MachineId, Revision, ShardId};
 use crate::protocol::Reply;
 use crate::protocol::state::StateResult;
@@ -36,6 +37,16 @@
 }
 
 impl MachineOperation {
+    /// The class of traffic by which the call is admitted.
+    pub fn traffic_class(&self) -> TrafficClass {
+        match self {
+            MachineOperation::Find { .. } => TrafficClass::RecordRead,
+            MachineOperation::Register { .. } => TrafficClass::MachineRecord,
+            MachineOperation::RemoveRecord { .. } => TrafficClass::StaleRecord,
+            MachineOperation::Transfer { .. } | MachineOperation::Fetch { .. } => TrafficClass::MachineTransfer,
+        }
+    }
+
     /// The term that was a condition of the transaction, if there was one.
     pub fn leadership_condition(&self) -> Option<LeadershipTerm> {
         match self {
--- a/src/coordination/worker_heartbeats/registration.rs
+++ b/src/coordination/worker_heartbeats/registration.rs
@@ -6,6 +6,7 @@
 use super::super::shard::EarlyHeartbeat;
 use super::MachineOperation;
 use crate::coordination::leadership_term::LeadershipTerm;
+use crate::coordination::state_admission::TrafficClass;
 use crate::model::{FencingToken, MachineId, Revision, ShardId};
 use crate::protocol::Reply;
 use crate::protocol::state::StateResult;
@@ -63,7 +64,7 @@
         let now = self.now;
         while let Some(first) = self.registrations.pending.front() {
             let timed_out = now.since(first.since) > REGISTRATION_TIMEOUT;
-            if !timed_out && !self.calls.write_limiter.take(now, 0.0) {
+            if !timed_out && !self.admits(TrafficClass::MachineRecord) {
                 return;
             }
             let Some(registration) = self.registrations.pending.pop_front() else { return };
@@ -111,7 +112,7 @@
 
     /// Reads the record of a machine: another controller may have registered it.
     fn find_machine(&mut self, requester: Requester, heartbeat: Box<WorkerHeartbeat>) {
-        if !self.calls.request_limiter.take(self.now, 0.0) {
+        if !self.admits(TrafficClass::RecordRead) {
             return self.reply(requester, Reply::busy("busy"));
         }
         let request = StateCall::Get(keys::machine_key(&heartbeat.machine));
@@ -176,7 +177,7 @@
         }
         // If a whole fleet boots at once, the state service would refuse most of the records, and each of these
         // machines would have to ask again.
-        if !self.calls.write_limiter.take(self.now, 0.0) {
+        if !self.admits(TrafficClass::MachineRecord) {
             let since = self.now;
             let registration = PendingRegistration { requester, shard: shard_id, heartbeat, since };
             return self.registrations.enqueue(registration);
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -32,6 +32,9 @@
 /// Seconds after which a client that was turned away for the moment should retry.
 const RETRY_AFTER_S: u32 = 1;
 
+/// The status with which a client is turned away because more is asked than the cluster can do.
+const STATUS_OVERLOADED: u16 = 429;
+
 /// An HTTP request to another service, ready for transport.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Outgoing {
@@ -81,6 +84,11 @@
     pub fn busy(reason: &str) -> Reply {
         Reply { retry_after: Some(RETRY_AFTER_S), ..Reply::error(503, reason) }
     }
+
+    /// Returns a 429 that asks the client to retry after so many seconds. No other controller is asked instead.
+    pub fn overloaded(reason: &str, retry_after_s: u32) -> Reply {
+        Reply { retry_after: Some(retry_after_s), ..Reply::error(STATUS_OVERLOADED, reason) }
+    }
 }
 
 #[derive(Serialize)]
--- a/src/storage/rate_limiter.rs
+++ b/src/storage/rate_limiter.rs
@@ -46,18 +46,29 @@
         enough
     }
 
-    /// Whether an urgent request may be sent: the debt is less than one burst.
-    pub fn allows_urgent(&mut self, now: Time) -> bool {
-        self.refill(now);
-        self.tokens > -self.burst
-    }
-
     /// Whether the bucket is filled to at least this share, so that a request which can wait delays no other.
     pub fn is_filled_to(&mut self, now: Time, share: f64) -> bool {
         self.refill(now);
         self.tokens >= self.burst * share
     }
 
+    /// Whether the bucket is filled to at least this part of a burst, which is negative in debt, and `more` tokens.
+    pub fn is_filled_beyond(&mut self, now: Time, share: f64, more: f64) -> bool {
+        self.refill(now);
+        self.tokens >= self.burst * share + more
+    }
+
+    /// Tokens per second.
+    pub fn rate(&self) -> f64 {
+        self.rate
+    }
+
+    /// How many tokens there are; negative in debt.
+    pub fn level(&mut self, now: Time) -> f64 {
+        self.refill(now);
+        self.tokens
+    }
+
     /// Takes `count` tokens for a request that must not wait, going into debt if necessary.
     pub fn take_on_credit(&mut self, now: Time, count: f64) {
         self.refill(now);
--- a/src/transport/http/writer.rs
+++ b/src/transport/http/writer.rs
@@ -43,6 +43,7 @@
         413 => "Content Too Large",
         421 => "Misdirected Request",
         422 => "Unprocessable Content",
+        429 => "Too Many Requests",
         431 => "Request Header Fields Too Large",
         503 => "Service Unavailable",
         _ => "Status",
--- a/tests/storage.rs
+++ b/tests/storage.rs
@@ -74,12 +74,12 @@
 fn urgent_requests_go_into_bounded_debt() {
     let mut limiter = RateLimiter::new(10.0, 5.0);
     limiter.take_on_credit(START, 9.0);
-    assert!(limiter.allows_urgent(START) && !limiter.is_filled_to(START, 0.0));
+    assert!(limiter.is_filled_beyond(START, -1.0, 0.0) && !limiter.is_filled_to(START, 0.0));
     limiter.take_on_credit(START, 100.0);
-    assert!(!limiter.allows_urgent(START));
+    assert!(!limiter.is_filled_beyond(START, -1.0, 0.0));
     // Two bursts of debt, of which one is paid back after half a second.
-    assert!(!limiter.allows_urgent(after(0.49)));
-    assert!(limiter.allows_urgent(after(0.51)));
+    assert!(!limiter.is_filled_beyond(after(0.49), -1.0, 0.0));
+    assert!(limiter.is_filled_beyond(after(0.51), -1.0, 0.0));
 }
 
 #[test]
