Start the other tasks of a job at once when one of its tasks has completed

What callers saw: a job whose tasks fail on several faulty machines within a second waits for 64 s beside idle healthy machines, although one of its tasks completes meanwhile.

Cause: each failure doubles the pause of a job that seems to fail everywhere. A completed task showed that the job is not at fault and cleared the blame and the count, but not the pause that had already been set. The test, unchanged, fails without this line and passes with it.

The pause ends with the blame. A machine on which a task of the job failed still gets no other one for 90 s.

--- a/src/coordination/shard/failure_history.rs
+++ b/src/coordination/shard/failure_history.rs
@@ -55,10 +55,11 @@
         self.machines.iter().any(|failure| failure.machine == *machine && failure.is_recent(now))
     }
 
-    /// A task of the job has completed.
+    /// A task of the job has completed: the job is not at fault, so its other tasks need not wait.
     pub(super) fn record_success(&mut self) {
         self.count = 0;
         self.fails_everywhere = false;
+        self.backoff_until = Time::ZERO;
     }
 
     /// A task of the job failed on a machine while `running` others are still running. Returns whether this failure
