Log once a minute what was answered and why not, with typed reasons of a 503

No logs were kept of the incident, and none of the lines would have told it: which replies were sent, for what reason users were asked to retry, how long the state service took, and how long the process stood still. One line a minute now says so; the calls that were not admitted to the state service, by class, already have theirs. The reason of a 503 is an enum; its texts and the messages between controllers are unchanged, since the reason itself is not sent. The compatibility sample of a 503 leaves out the reason, which the wire form never had.

Not built: the age of the oldest unanswered poll.

--- a/src/coordination/controller.rs
+++ b/src/coordination/controller.rs
@@ -13,6 +13,7 @@
 use super::pending_calls::PendingWorkerCall;
 use super::relay::Relays;
 use super::replica::Replica;
+use super::request_statistics::RequestStatistics;
 use super::scale_in::RemovedMachines;
 use super::shard::Shard;
 use super::shard_recovery::RecoveryLog;
@@ -27,7 +28,7 @@
 use crate::protocol::state::StateResult;
 use crate::protocol::users::ClientRequest;
 use crate::protocol::workers::WorkerCall;
-use crate::protocol::{CallError, Reply};
+use crate::protocol::{BusyReason, CallError, Reply};
 use crate::time::Time;
 use crowstall_leadership::Membership;
 use std::collections::BTreeMap;
@@ -59,6 +60,8 @@
     pub(super) counter: u64,
     /// Actions of the current event, and calls to outside services in flight.
     pub(super) calls: OutboundCalls,
+    /// What was answered lately, for the log.
+    pub(super) statistics: RequestStatistics,
     /// This node's lease at the state service, and acquiring, confirming and replacing leadership.
     pub(super) leadership: NodeLeadership,
     /// Leadership checks, and answers that are deferred until a leadership term is confirmed.
@@ -103,6 +106,7 @@
             wall_clock_ms: clock.wall_clock_ms,
             counter: 0,
             calls: OutboundCalls::new(&settings, now),
+            statistics: RequestStatistics::new(now),
             leadership: NodeLeadership::new(&settings),
             confirmation: Confirmation::default(),
             membership: Membership::new(settings.label.clone(), settings.node_zones.clone(), shards),
@@ -220,6 +224,7 @@
                 if reply.retry_after.is_some() {
                     log::debug!("request refused with Retry-After: {}", reply.body);
                 }
+                self.statistics.replied(&reply);
                 self.calls.push(Action::Reply { id, reply });
             }
             Requester::Peer { node, number } => self.send_to_peer(node, PeerMessage::Answer { number, reply }),
@@ -277,7 +282,11 @@
 
     /// The answer to the load balancer's health check.
     fn health(&self) -> Reply {
-        if self.is_ready_for_users() { Reply::json(200, &serde_json::json!({})) } else { Reply::busy("not ready") }
+        if self.is_ready_for_users() {
+            Reply::json(200, &serde_json::json!({}))
+        } else {
+            Reply::busy(BusyReason::NotReady)
+        }
     }
 
     /// Whether the load balancer should send users to this node.
@@ -305,6 +314,7 @@
             self.leadership.state_answered(self.now);
         }
         let PendingStateCall { sent, operation, .. } = pending;
+        self.statistics.state_answered(self.now.since(sent));
         self.confirm_by_commit(sent, &operation, &answer);
         if let Some((operation, answer)) = self.defer_unconfirmed(sent, operation, answer) {
             self.complete_state_call(sent, operation, answer);
@@ -346,7 +356,7 @@
     /// Handles a request that another controller forwarded because this node leads the shard.
     fn handle_forwarded_request(&mut self, requester: Requester, shard: ShardId, request: ForwardedRequest) {
         if !self.may_handle_forwarded(shard, &request) {
-            return self.reply(requester, Reply::busy("not held here"));
+            return self.reply(requester, Reply::busy(BusyReason::NotLeader));
         }
         match request {
             ForwardedRequest::Submit(spec) | ForwardedRequest::SubmitWaiting(spec) => {
@@ -383,7 +393,9 @@
     fn tick(&mut self) {
         self.share_limits();
         self.refuse_calls_not_admitted();
-        self.failover_tick(self.recoveries.time_since_last_tick(self.now));
+        let time_since_last_tick = self.recoveries.time_since_last_tick(self.now);
+        self.statistics_tick(time_since_last_tick);
+        self.failover_tick(time_since_last_tick);
         self.leadership_tick();
         self.replica_tick();
         self.expire_forwarded_requests();
--- a/src/coordination/dependencies/prerequisite_check.rs
+++ b/src/coordination/dependencies/prerequisite_check.rs
@@ -6,8 +6,8 @@
 use super::operations::{DependencyOperation, PrerequisiteCheck};
 use crate::coordination::state_admission::TrafficClass;
 use crate::model::{FinalState, JobId, JobKind, JobSpec};
-use crate::protocol::Reply;
 use crate::protocol::state::StateResult;
+use crate::protocol::{BusyReason, Reply};
 
 /// What the memory of this node shows of a prerequisite.
 enum KnownPrerequisite {
@@ -73,7 +73,7 @@
             return self.accept(check.submission);
         };
         if !self.admits(TrafficClass::RecordRead) {
-            return self.reply(check.submission.requester, Reply::busy("too many questions"));
+            return self.reply(check.submission.requester, Reply::busy(BusyReason::TooManyReads));
         }
         let request = check.reading.request(prerequisite);
         self.call_state(request, DependencyOperation::CheckPrerequisite(Box::new(check)));
@@ -96,10 +96,10 @@
                 return self.refuse_submission(check.submission, &reason);
             }
             JobRecordAnswer::Unreadable(_) => {
-                return self.reply(check.submission.requester, Reply::busy("a record can't be read"));
+                return self.reply(check.submission.requester, Reply::busy(BusyReason::AnyRecordUnreadable));
             }
             JobRecordAnswer::Unanswered => {
-                return self.reply(check.submission.requester, Reply::busy("state not reachable"));
+                return self.reply(check.submission.requester, Reply::busy(BusyReason::StateUnreachable));
             }
         }
         check.unchecked.pop();
--- a/src/coordination/dependencies/requests.rs
+++ b/src/coordination/dependencies/requests.rs
@@ -6,23 +6,20 @@
 use super::super::waiting_jobs::WaitingStatus;
 use super::final_record::cancelled_before_start;
 use crate::model::{JobId, ShardId};
-use crate::protocol::Reply;
 use crate::protocol::users::JobView;
-
-/// The reply while the prerequisites of a job are being loaded.
-const LOADING_PREREQUISITES: &str = "the jobs that it needs are being read";
+use crate::protocol::{BusyReason, Reply};
 
 impl Controller {
     /// Answers a poll of a job that waits.
     pub(in crate::coordination) fn poll_waiting_job(&mut self, requester: Requester, shard_id: ShardId, id: JobId) {
         let Some(shard) = self.shards.get(&shard_id) else {
-            return self.reply(requester, Reply::busy("not held here"));
+            return self.reply(requester, Reply::busy(BusyReason::NotLeader));
         };
         let reply = match shard.dependencies.status(&id) {
-            WaitingStatus::Loading => Reply::busy(LOADING_PREREQUISITES),
+            WaitingStatus::Loading => Reply::busy(BusyReason::LoadingPrerequisites),
             WaitingStatus::Withdrawn(cause) => final_reply(&id, &cancelled_before_start(Some(cause))),
-            WaitingStatus::WriteInProgress => Reply::busy("its record is being written"),
-            WaitingStatus::PrerequisiteInDoubt => Reply::busy("the record of a job that it needs is being written"),
+            WaitingStatus::WriteInProgress => Reply::busy(BusyReason::FinalWritePending),
+            WaitingStatus::PrerequisiteInDoubt => Reply::busy(BusyReason::PrerequisiteWritePending),
             WaitingStatus::PrerequisitesUnknown => {
                 return self.look_up_job(requester, id, LookupPurpose::DependencyTraversal);
             }
@@ -42,11 +39,11 @@
         }
         let may_record = shard.may_record_cancellations(now);
         let Some(job) = shard.dependencies.waiting_job_mut(&id) else {
-            return self.reply(requester, Reply::busy(LOADING_PREREQUISITES));
+            return self.reply(requester, Reply::busy(BusyReason::LoadingPrerequisites));
         };
         job.request_cancellation();
         if !may_record {
-            return self.reply(requester, Reply::busy("its former holder may not know yet that it was replaced"));
+            return self.reply(requester, Reply::busy(BusyReason::LeadershipOverlap));
         }
         job.add_cancel_requester(requester);
         shard.dependencies.set_due(id.clone());
--- a/src/coordination/dependencies/traversal.rs
+++ b/src/coordination/dependencies/traversal.rs
@@ -9,16 +9,13 @@
 use super::operations::{DependencyOperation, DependencyTraversal, TraversalRead};
 use crate::coordination::state_admission::TrafficClass;
 use crate::model::{FinalState, JobId};
-use crate::protocol::Reply;
 use crate::protocol::state::StateResult;
 use crate::protocol::users::{JobState, JobView};
+use crate::protocol::{BusyReason, Reply};
 use crate::storage::records::LiveRecord;
 
 /// How many records are read for one poll, at the most.
 const MAX_READS: u32 = 64;
-/// The reply to a poll whose traversal takes more reads, or more than the rate limits allow.
-const TOO_MANY_JOBS: &str = "it needs too many jobs to look at them all";
-
 impl DependencyTraversal {
     /// The traversal that begins at a waiting job.
     fn new(requester: Requester, record: &LiveRecord) -> DependencyTraversal {
@@ -45,7 +42,7 @@
     /// live record.
     pub(in crate::coordination) fn traverse_dependencies(&mut self, requester: Requester, record: &LiveRecord) {
         if record.parts > 0 {
-            return self.reply(requester, Reply::busy("its shard's holder has to be asked"));
+            return self.reply(requester, Reply::busy(BusyReason::LeaderMustAnswer));
         }
         self.continue_traversal(DependencyTraversal::new(requester, record));
     }
@@ -82,7 +79,7 @@
     fn read_in_traversal(&mut self, mut read: TraversalRead) {
         read.traversal.read_count += 1;
         if read.traversal.read_count > MAX_READS || !self.admits(TrafficClass::RecordRead) {
-            return self.reply(read.traversal.requester, Reply::busy(TOO_MANY_JOBS));
+            return self.reply(read.traversal.requester, Reply::busy(BusyReason::TooManyPrerequisites));
         }
         let request = read.reading.request(&read.job);
         self.call_state(request, DependencyOperation::Traverse(Box::new(read)));
@@ -103,7 +100,7 @@
                 self.read_in_traversal(TraversalRead { traversal, job, reading: JobRecordKind::Final });
             }
             JobRecordAnswer::NoSuchJob | JobRecordAnswer::Unreadable(_) | JobRecordAnswer::Unanswered => {
-                let reply = Reply::busy("the record of a job that it needs can't be read");
+                let reply = Reply::busy(BusyReason::PrerequisiteUnreadable);
                 self.reply(traversal.requester, reply);
             }
         }
@@ -112,7 +109,7 @@
     /// A job on the way has not ended: what it depends on has to be looked at too.
     fn live_record_traversed(&mut self, mut traversal: DependencyTraversal, record: LiveRecord) {
         if record.parts > 0 {
-            return self.reply(traversal.requester, Reply::busy(TOO_MANY_JOBS));
+            return self.reply(traversal.requester, Reply::busy(BusyReason::TooManyPrerequisites));
         }
         // All prerequisites of a job that does not wait any more are done.
         if record.is_waiting() {
--- a/src/coordination/dependencies/waiting_records.rs
+++ b/src/coordination/dependencies/waiting_records.rs
@@ -11,7 +11,7 @@
 use crate::model::{JobId, Revision, ShardId};
 use crate::protocol::state::StateResult;
 use crate::protocol::state::{Change, Condition, StateAnswer, StateCall};
-use crate::protocol::{CallError, Reply};
+use crate::protocol::{BusyReason, CallError, Reply};
 use crate::storage::keys;
 use crate::storage::records::{EndRecord, to_value};
 
@@ -226,7 +226,7 @@
 
     /// Tells users to repeat their cancellations.
     fn ask_to_retry(&mut self, requesters: Vec<Requester>) {
-        self.reply_to_all(requesters, Reply::busy("state not reachable"));
+        self.reply_to_all(requesters, Reply::busy(BusyReason::StateUnreachable));
     }
 
     /// A job does not wait any more, durably: it takes its place in the queue.
--- a/src/coordination/forecasts.rs
+++ b/src/coordination/forecasts.rs
@@ -17,8 +17,8 @@
 use super::user_requests::live_state;
 use crate::config::{ForecastProperties, Settings};
 use crate::model::{FinalState, JobId, JobKind, ShardId};
-use crate::protocol::Reply;
 use crate::protocol::users::{ForecastView, Interval, JobState, PromiseView, TaskForecast};
+use crate::protocol::{BusyReason, Reply};
 use crate::time::{Span, Time};
 use crowstall_forecast::{JudgedPromise, Limits, Promise};
 use std::collections::BTreeMap;
@@ -119,7 +119,7 @@
     /// Replies with the forecast of a job of a shard that this node leads.
     pub(super) fn reply_with_forecast(&mut self, requester: Requester, shard_id: ShardId, id: &JobId) {
         let reply = self.forecast_reply(shard_id, id);
-        self.reply(requester, reply.unwrap_or_else(|| Reply::busy("its forecast is being made")));
+        self.reply(requester, reply.unwrap_or_else(|| Reply::busy(BusyReason::ForecastPending)));
     }
 
     /// Returns the forecast of a job, which is made at once if it is missing and the last round was not just now.
--- a/src/coordination/forwarding.rs
+++ b/src/coordination/forwarding.rs
@@ -5,7 +5,7 @@
 use super::user_requests::LookupPurpose;
 use crate::model::{JobId, JobSpec, NodeLabel, ShardId};
 use crate::protocol::peers::{ForwardedRequest, PeerMessage};
-use crate::protocol::{Reply, workers};
+use crate::protocol::{BusyReason, Reply, workers};
 use crate::time::{Span, Time};
 use std::collections::BTreeMap;
 
@@ -64,7 +64,7 @@
     /// Forwards a request of a client of this node to the leader of a shard.
     pub(super) fn forward(&mut self, requester: Requester, shard: ShardId, request: ForwardedRequest) {
         let Requester::Local(client_request) = requester else {
-            return self.reply(requester, Reply::busy("not held here"));
+            return self.reply(requester, Reply::busy(BusyReason::NotLeader));
         };
         let Some(leader) = self.reachable_leader(shard) else {
             return self.answer_without_leader(requester, request);
@@ -83,7 +83,7 @@
                 self.submit_remotely(requester, *spec);
             }
             ForwardedRequest::WorkerHeartbeat(_) => self.reply(requester, workers::redirect(None)),
-            _ => self.reply(requester, Reply::busy("its shard is changing hands")),
+            _ => self.reply(requester, Reply::busy(BusyReason::LeaderUnreachable)),
         }
     }
 
@@ -119,7 +119,7 @@
             match kind {
                 ForwardedKind::Submission(spec) => self.submit_remotely(requester, *spec),
                 ForwardedKind::Poll(job) => self.look_up_job(requester, job, LookupPurpose::Poll),
-                ForwardedKind::LeaderOnly(_) => self.reply(requester, Reply::busy("the job's node does not answer")),
+                ForwardedKind::LeaderOnly(_) => self.reply(requester, Reply::busy(BusyReason::LeaderTimedOut)),
                 ForwardedKind::WorkerHeartbeat => self.reply(requester, workers::redirect(None)),
             }
         }
--- a/src/coordination/job_persistence/mod.rs
+++ b/src/coordination/job_persistence/mod.rs
@@ -9,8 +9,8 @@
 use super::shard::{Job, RecordedProgress};
 use super::state_admission::TrafficClass;
 use crate::model::{FinalState, JobId, ShardId};
-use crate::protocol::Reply;
 use crate::protocol::state::{StateCall, StateResult};
+use crate::protocol::{BusyReason, Reply};
 use crate::time::{Span, Time};
 
 /// What a call to the state service does with the record of a job.
@@ -133,7 +133,7 @@
         let requesters = std::mem::take(&mut job.cancel_requesters);
         let final_write_in_doubt = job.record.final_write_in_doubt;
         self.end_cancellation_doubt(id, final_write_in_doubt);
-        self.reply_to_all(requesters, Reply::busy("state not reachable"));
+        self.reply_to_all(requesters, Reply::busy(BusyReason::StateUnreachable));
     }
 
     /// The outcome of a call for a job's record is not known, so the record has to be read again.
@@ -142,7 +142,7 @@
         job.record.outcome_unknown = true;
         job.record.final_write_in_doubt |= is_final_write;
         let requesters = std::mem::take(&mut job.cancel_requesters);
-        self.reply_to_all(requesters, Reply::busy("state not reachable"));
+        self.reply_to_all(requesters, Reply::busy(BusyReason::StateUnreachable));
     }
 
     /// Records that a cancellation of the job can't be read by anyone, unless a final write may still be executed.
--- a/src/coordination/leadership/release.rs
+++ b/src/coordination/leadership/release.rs
@@ -11,7 +11,7 @@
 use crate::protocol::peers::PeerMessage;
 use crate::protocol::state::StateResult;
 use crate::protocol::state::{Change, StateAnswer, StateCall};
-use crate::protocol::{CallError, Reply};
+use crate::protocol::{BusyReason, CallError, Reply};
 use crate::storage::keys;
 use crate::time::Span;
 use crowstall_leadership::Peer;
@@ -29,7 +29,7 @@
             self.keep_recovery_report(&shard);
             self.resume_deferred_after_loss(id);
             for EarlyHeartbeat { requester, .. } in shard.loading.early_heartbeats {
-                self.reply(requester, Reply::busy("changing hands"));
+                self.reply(requester, Reply::busy(BusyReason::LeadershipLost));
             }
         }
     }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -25,6 +25,7 @@
 mod relay;
 mod rentals;
 mod replica;
+mod request_statistics;
 mod scale_in;
 mod scale_out;
 mod shard;
--- a/src/coordination/relay.rs
+++ b/src/coordination/relay.rs
@@ -6,9 +6,9 @@
 use super::controller::Controller;
 use super::events::Requester;
 use crate::model::{MachineId, Revision, ShardId};
-use crate::protocol::Reply;
 use crate::protocol::peers::ForwardedRequest;
 use crate::protocol::workers::{self, ANSWER_TIMEOUT, NEXT_CONTROLLER_DELAY, WorkerHeartbeat};
+use crate::protocol::{BusyReason, Reply};
 use crate::time::{Span, Time};
 use std::collections::HashMap;
 
@@ -76,7 +76,7 @@
     /// to time the worker is sent to the leader again, after a longer period each time.
     pub(super) fn redirect_or_relay(&mut self, requester: Requester, shard: ShardId, heartbeat: Box<WorkerHeartbeat>) {
         if matches!(requester, Requester::Peer { .. }) {
-            return self.reply(requester, Reply::busy("not held here"));
+            return self.reply(requester, Reply::busy(BusyReason::NotLeader));
         }
         let term = self.membership.leadership(shard).map_or(Revision(0), |leadership| leadership.term);
         let leader = self.leader_of(shard).filter(|node| **node != self.settings.label);
--- a/src/coordination/user_requests/acceptance.rs
+++ b/src/coordination/user_requests/acceptance.rs
@@ -8,10 +8,10 @@
 use super::views::state_reply;
 use crate::coordination::state_admission::TrafficClass;
 use crate::model::{JobId, Revision, ShardId};
-use crate::protocol::Reply;
 use crate::protocol::state::StateResult;
 use crate::protocol::state::{Change, Condition, StateAnswer, StateCall};
 use crate::protocol::users::JobState;
+use crate::protocol::{BusyReason, Reply};
 use crate::storage::keys;
 use crate::storage::records::to_value;
 
@@ -28,7 +28,7 @@
     fn accept_as_leader(&mut self, submission: Submission) {
         let may_decide = self.may_decide(submission.shard);
         let Some(shard) = self.shards.get(&submission.shard).filter(|shard| shard.is_active() && may_decide) else {
-            return self.reply(submission.requester, Reply::busy("the shard is not ready"));
+            return self.reply(submission.requester, Reply::busy(BusyReason::ShardNotReady));
         };
         if shard.has(&submission.spec.id) {
             // The job was submitted twice, and the other submission was accepted meanwhile.
@@ -42,7 +42,7 @@
     fn accept_with_handoff(&mut self, submission: Submission) {
         let Some(leadership) = self.membership.leadership(submission.shard).filter(|_| self.leadership.has_lease())
         else {
-            return self.reply(submission.requester, Reply::busy("no fresh state"));
+            return self.reply(submission.requester, Reply::busy(BusyReason::NotConfirmed));
         };
         let term = if leadership.leader.is_some() { leadership.term } else { Revision(0) };
         self.write_acceptance(submission, term);
@@ -57,7 +57,7 @@
         }
         if !self.admits(TrafficClass::Acceptance) {
             let retry_after = self.calls.retry_after(self.now, TrafficClass::Acceptance);
-            return self.reply(requester, Reply::overloaded("too many submissions", retry_after));
+            return self.reply(requester, Reply::overloaded(BusyReason::TooManySubmissions, retry_after));
         }
         match NewJob::new(shard, term, spec, path, self.wall_clock_ms, self.settings.value_bytes) {
             Ok(new_job) => {
@@ -99,7 +99,7 @@
                 }
             }
             // The job may be recorded or not. The user's retry finds out.
-            _ => self.reply_to_all(requesters, Reply::busy("state not reachable")),
+            _ => self.reply_to_all(requesters, Reply::busy(BusyReason::StateUnreachable)),
         }
     }
 
@@ -150,7 +150,7 @@
         if self.shard_in_term(new_job.leadership_term()).is_some() {
             self.step_down(new_job.shard, StepDownReason::TermReplaced);
         }
-        self.reply_to_all(requesters, Reply::busy("the shard is changing hands"));
+        self.reply_to_all(requesters, Reply::busy(BusyReason::TermReplaced));
     }
 
     /// Sends the same reply to several requesters.
--- a/src/coordination/user_requests/cancellation.rs
+++ b/src/coordination/user_requests/cancellation.rs
@@ -4,8 +4,8 @@
 use super::super::events::Requester;
 use super::operations::LookupPurpose;
 use crate::model::{FinalState, JobId, ShardId};
-use crate::protocol::Reply;
 use crate::protocol::peers::ForwardedRequest;
+use crate::protocol::{BusyReason, Reply};
 
 impl Controller {
     /// Cancels a job for a user.
@@ -30,11 +30,11 @@
             return self.reply(requester, reply);
         }
         if !self.shards.get(&shard_id).is_some_and(|shard| shard.is_active()) {
-            return self.reply(requester, Reply::busy("not held here"));
+            return self.reply(requester, Reply::busy(BusyReason::NotLeader));
         }
         self.stop_cancelled_tasks(shard_id, &id);
         if !self.may_decide(shard_id) {
-            return self.reply(requester, Reply::busy("no right to"));
+            return self.reply(requester, Reply::busy(BusyReason::LeaseInvalid));
         }
         self.record_cancellation(requester, shard_id, id);
     }
@@ -55,7 +55,7 @@
     fn record_cancellation(&mut self, requester: Requester, shard_id: ShardId, id: JobId) {
         let now = self.now;
         let Some(shard) = self.shards.get_mut(&shard_id) else {
-            return self.reply(requester, Reply::busy("not held here"));
+            return self.reply(requester, Reply::busy(BusyReason::NotLeader));
         };
         if shard.dependencies.contains(&id) {
             return self.cancel_waiting_job(requester, shard_id, id);
@@ -63,7 +63,7 @@
         let may_record = shard.may_record_cancellations(now);
         let Some(job) = shard.jobs.get_mut(&id) else { return self.look_up_job(requester, id, LookupPurpose::Cancel) };
         if !may_record {
-            return self.reply(requester, Reply::busy("its former holder may not know yet that it was replaced"));
+            return self.reply(requester, Reply::busy(BusyReason::LeadershipOverlap));
         }
         job.cancel_requesters.push(requester);
         self.write_end(shard_id, &id);
--- a/src/coordination/user_requests/lookup.rs
+++ b/src/coordination/user_requests/lookup.rs
@@ -8,10 +8,10 @@
 use super::views::{final_reply, state_reply};
 use crate::coordination::state_admission::TrafficClass;
 use crate::model::{JobId, ShardId};
-use crate::protocol::Reply;
 use crate::protocol::peers::ForwardedRequest;
 use crate::protocol::state::StateResult;
 use crate::protocol::users::JobState;
+use crate::protocol::{BusyReason, Reply};
 use crate::storage::range_set::RangeSet;
 use crate::storage::records::{EndRecord, LiveRecord};
 
@@ -19,7 +19,7 @@
     /// Answers a request from the job's records.
     pub(in crate::coordination) fn look_up_job(&mut self, requester: Requester, job: JobId, purpose: LookupPurpose) {
         if !self.admits(TrafficClass::RecordRead) {
-            return self.reply(requester, Reply::busy("too many questions"));
+            return self.reply(requester, Reply::busy(BusyReason::TooManyReads));
         }
         self.read_record(JobLookup { requester, job, purpose, reading: JobRecordKind::Live, sent: self.now });
     }
@@ -40,8 +40,8 @@
                 self.read_record(JobLookup { reading: JobRecordKind::Final, ..lookup });
             }
             JobRecordAnswer::NoSuchJob => self.job_not_found(lookup),
-            JobRecordAnswer::Unreadable(_) => self.reply(lookup.requester, Reply::busy("its record can't be read")),
-            JobRecordAnswer::Unanswered => self.reply(lookup.requester, Reply::busy("state not reachable")),
+            JobRecordAnswer::Unreadable(_) => self.reply(lookup.requester, Reply::busy(BusyReason::RecordUnreadable)),
+            JobRecordAnswer::Unanswered => self.reply(lookup.requester, Reply::busy(BusyReason::StateUnreachable)),
         }
     }
 
@@ -56,7 +56,7 @@
         self.directory.forget_job_shard(&lookup.job);
         let reply = match lookup.purpose {
             LookupPurpose::Refuse(refusal) => refusal,
-            LookupPurpose::AlreadyRecorded => Reply::busy("try again"),
+            LookupPurpose::AlreadyRecorded => Reply::busy(BusyReason::TryAgain),
             LookupPurpose::Poll
             | LookupPurpose::DependencyTraversal
             | LookupPurpose::Cancel
--- a/src/coordination/user_requests/polling.rs
+++ b/src/coordination/user_requests/polling.rs
@@ -6,8 +6,8 @@
 use super::operations::LookupPurpose;
 use super::views::{final_reply, live_reply};
 use crate::model::{JobId, ShardId};
-use crate::protocol::Reply;
 use crate::protocol::peers::ForwardedRequest;
+use crate::protocol::{BusyReason, Reply};
 
 /// What a user wants to know of a job.
 #[derive(Clone, Copy)]
@@ -76,7 +76,7 @@
             return self.reply(requester, reply);
         }
         if !self.may_serve_reads(shard_id) {
-            return self.reply(requester, Reply::busy("no fresh state"));
+            return self.reply(requester, Reply::busy(BusyReason::NotConfirmed));
         }
         let shard = self.shards.get(&shard_id);
         match shard.and_then(|shard| shard.jobs.get(&job)) {
@@ -96,7 +96,7 @@
             return self.poll_here(requester, shard_id, job);
         }
         if !self.may_serve_reads(shard_id) {
-            return self.reply(requester, Reply::busy("no fresh state"));
+            return self.reply(requester, Reply::busy(BusyReason::NotConfirmed));
         }
         if self.shards.get(&shard_id).is_some_and(|shard| shard.jobs.contains_key(&job)) {
             self.reply_with_forecast(requester, shard_id, &job);
--- a/src/coordination/user_requests/submission.rs
+++ b/src/coordination/user_requests/submission.rs
@@ -5,9 +5,9 @@
 use super::new_job::{AcceptancePath, Submission};
 use super::operations::LookupPurpose;
 use crate::model::{JobId, JobSpec, ShardId};
-use crate::protocol::Reply;
 use crate::protocol::peers::{ForwardedRequest, WAITING_JOBS_VERSION};
 use crate::protocol::users::InvalidJob;
+use crate::protocol::{BusyReason, Reply};
 
 impl Controller {
     /// Refuses a submission that is not valid.
@@ -40,14 +40,14 @@
             return self.poll_here(requester, shard, spec.id);
         }
         if !self.cloud.has_catalog() {
-            return self.reply(requester, Reply::busy("machine types not known yet"));
+            return self.reply(requester, Reply::busy(BusyReason::NoCatalog));
         }
         if let Err(infeasible) = self.check_feasibility(&spec) {
             return self.refuse_unless_accepted(requester, spec.id, Reply::error(422, infeasible.reason()));
         }
         match self.shard_for(&spec) {
             Some(shard) => self.submit_to_shard(requester, shard, spec),
-            None => self.reply(requester, Reply::busy("no shard to put it in")),
+            None => self.reply(requester, Reply::busy(BusyReason::NoShard)),
         }
     }
 
@@ -102,7 +102,7 @@
     pub(in crate::coordination) fn submit_remotely(&mut self, requester: Requester, spec: JobSpec) {
         match self.shard_for(&spec) {
             Some(shard) => self.check_and_accept(Submission { requester, shard, spec, path: AcceptancePath::Handoff }),
-            None => self.reply(requester, Reply::busy("no shard to put it in")),
+            None => self.reply(requester, Reply::busy(BusyReason::NoShard)),
         }
     }
 
--- a/src/coordination/user_requests/views.rs
+++ b/src/coordination/user_requests/views.rs
@@ -2,8 +2,8 @@
 
 use super::super::shard::Job;
 use crate::model::{FinalState, JobId};
-use crate::protocol::Reply;
 use crate::protocol::users::{JobState, JobView};
+use crate::protocol::{BusyReason, Reply};
 use crate::storage::records::EndRecord;
 
 /// The reply that a job is in the given state, with so many tasks completed and running.
@@ -38,6 +38,6 @@
 pub(super) fn live_reply(job: &Job) -> Reply {
     match live_state(job) {
         Some(state) => state_reply(&job.spec.id, state, job.progress.done.len(), job.progress.running.len() as u32),
-        None => Reply::busy("its record is being written"),
+        None => Reply::busy(BusyReason::FinalWritePending),
     }
 }
--- a/src/coordination/worker_heartbeats/mod.rs
+++ b/src/coordination/worker_heartbeats/mod.rs
@@ -14,9 +14,9 @@
 use crate::coordination::leadership_term::LeadershipTerm;
 use crate::coordination::state_admission::TrafficClass;
 use crate::model::{MachineId, Revision, ShardId};
-use crate::protocol::Reply;
 use crate::protocol::state::StateResult;
 use crate::protocol::workers::WorkerHeartbeat;
+use crate::protocol::{BusyReason, Reply};
 use crate::time::Span;
 
 /// How long heartbeats are kept for a shard whose records are being read. Workers wait 4 s for an answer.
@@ -114,7 +114,7 @@
             return;
         }
         for EarlyHeartbeat { requester, .. } in std::mem::take(&mut shard.loading.early_heartbeats) {
-            self.reply(requester, Reply::busy("being loaded"));
+            self.reply(requester, Reply::busy(BusyReason::BeingLoaded));
         }
     }
 
--- a/src/coordination/worker_heartbeats/registration.rs
+++ b/src/coordination/worker_heartbeats/registration.rs
@@ -8,10 +8,10 @@
 use crate::coordination::leadership_term::LeadershipTerm;
 use crate::coordination::state_admission::TrafficClass;
 use crate::model::{FencingToken, MachineId, Revision, ShardId};
-use crate::protocol::Reply;
 use crate::protocol::state::StateResult;
 use crate::protocol::state::{Change, Condition, StateAnswer, StateCall};
 use crate::protocol::workers::WorkerHeartbeat;
+use crate::protocol::{BusyReason, Reply};
 use crate::storage::keys;
 use crate::storage::records::{self, MachineRecord};
 use crate::time::{Span, Time};
@@ -69,7 +69,7 @@
             }
             let Some(registration) = self.registrations.pending.pop_front() else { return };
             if timed_out {
-                self.reply(registration.requester, Reply::busy("waits to be recorded"));
+                self.reply(registration.requester, Reply::busy(BusyReason::RegistrationDelayed));
             } else {
                 self.resume_registration(registration);
             }
@@ -113,7 +113,7 @@
     /// Reads the record of a machine: another controller may have registered it.
     fn find_machine(&mut self, requester: Requester, heartbeat: Box<WorkerHeartbeat>) {
         if !self.admits(TrafficClass::RecordRead) {
-            return self.reply(requester, Reply::busy("busy"));
+            return self.reply(requester, Reply::busy(BusyReason::TooManyMachineReads));
         }
         let request = StateCall::Get(keys::machine_key(&heartbeat.machine));
         self.call_state(request, MachineOperation::Find { requester, heartbeat });
@@ -124,12 +124,12 @@
         let shard_id = match answer {
             Ok(StateAnswer::Found(entry)) => match serde_json::from_value::<MachineRecord>(entry.value) {
                 Ok(record) => record.shard,
-                Err(_) => return self.reply(requester, Reply::busy("its record can't be read")),
+                Err(_) => return self.reply(requester, Reply::busy(BusyReason::RecordUnreadable)),
             },
             // Rented by a controller that no longer runs, or one of the operators' own machines: its number tells
             // every controller alike where it belongs.
             Ok(StateAnswer::Missing) => self.default_shard(&heartbeat.machine),
-            _ => return self.reply(requester, Reply::busy("state not reachable")),
+            _ => return self.reply(requester, Reply::busy(BusyReason::StateUnreachable)),
         };
         self.directory.set_machine_shard_if_unknown(heartbeat.machine.clone(), shard_id);
         match self.shards.get(&shard_id) {
@@ -168,12 +168,14 @@
         let is_being_registered = self.is_being_registered(&heartbeat.machine);
         let leadership = match self.shards.get(&shard_id) {
             // A heartbeat that was delayed or delivered twice: the machine is gone.
-            Some(_) if self.is_removed(&heartbeat) => return self.reply(requester, Reply::busy("it is gone")),
+            Some(_) if self.is_removed(&heartbeat) => {
+                return self.reply(requester, Reply::busy(BusyReason::MachineGone));
+            }
             Some(shard) if !is_being_registered => shard.leadership_term(),
-            _ => return self.reply(requester, Reply::busy("being recorded")),
+            _ => return self.reply(requester, Reply::busy(BusyReason::BeingRecorded)),
         };
         if !self.may_decide(shard_id) {
-            return self.reply(requester, Reply::busy("no right to"));
+            return self.reply(requester, Reply::busy(BusyReason::LeaseInvalid));
         }
         // If a whole fleet boots at once, the state service would refuse most of the records, and each of these
         // machines would have to ask again.
@@ -206,7 +208,7 @@
     ) {
         let shard_id = leadership.shard;
         if self.shard_in_term(leadership).is_none() || self.step_down_on_conflict(shard_id, &answer) {
-            return self.reply(requester, Reply::busy("changing hands"));
+            return self.reply(requester, Reply::busy(BusyReason::LeadershipLost));
         }
         match answer {
             Ok(StateAnswer::Committed(version)) => {
@@ -219,9 +221,9 @@
                 self.directory.forget_machine_shard(&heartbeat.machine);
                 let request = StateCall::Get(keys::machine_key(&heartbeat.machine));
                 self.call_state(request, MachineOperation::Fetch { leadership });
-                self.reply(requester, Reply::busy("recorded before"));
+                self.reply(requester, Reply::busy(BusyReason::RecordedBefore));
             }
-            _ => self.reply(requester, Reply::busy("state not reachable")),
+            _ => self.reply(requester, Reply::busy(BusyReason::StateUnreachable)),
         }
     }
 
--- a/src/coordination/worker_heartbeats/serving.rs
+++ b/src/coordination/worker_heartbeats/serving.rs
@@ -6,8 +6,8 @@
 use super::super::placement::PlacementContext;
 use super::super::shard::{Attempt, EarlyHeartbeat, HeartbeatNumber, Job, Machine};
 use crate::model::{AttemptNumber, JobId, MachineId, ShardId};
-use crate::protocol::Reply;
 use crate::protocol::workers::{self, Command, TaskState, WorkerHeartbeat};
+use crate::protocol::{BusyReason, Reply};
 use crate::time::{Span, Time};
 use std::collections::HashMap;
 
@@ -97,7 +97,7 @@
 /// here while its lease expires.
 fn refusal(machine: &Machine, heartbeat: &WorkerHeartbeat, may_renew_worker_leases: bool) -> Option<Reply> {
     if machine.deleting {
-        return Some(Reply::busy("being given back"));
+        return Some(Reply::busy(BusyReason::BeingReturned));
     }
     (shows_newer_leader(machine, heartbeat) || !may_renew_worker_leases).then(|| workers::redirect(None))
 }
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -20,6 +20,7 @@
 //! | `rookery` | controller to report to |
 //! | `tally`, `molt`, `tenure` | revision of the store, revision of a key, lease |
 
+mod busy_reason;
 pub mod cloud;
 pub mod peer_heartbeat_pages;
 pub mod peers;
@@ -27,6 +28,8 @@
 pub mod users;
 pub mod workers;
 
+pub use busy_reason::BusyReason;
+
 use serde::{Deserialize, Serialize};
 
 /// Seconds after which a client that was turned away for the moment should retry.
@@ -66,13 +69,16 @@
     pub body: String,
     /// Seconds after which the client should retry, for the header `Retry-After`.
     pub retry_after: Option<u32>,
+    /// Why the client is asked to retry, if this controller decided so. Not sent to other controllers.
+    #[serde(skip)]
+    pub busy_reason: Option<BusyReason>,
 }
 
 impl Reply {
     /// Returns an answer with `body` as JSON.
     pub fn json(status: u16, body: &impl Serialize) -> Reply {
         let body = String::from_utf8(to_json(body)).unwrap_or_default();
-        Reply { status, body, retry_after: None }
+        Reply { status, body, retry_after: None, busy_reason: None }
     }
 
     /// Returns an answer that gives the reason of a failure.
@@ -81,13 +87,18 @@
     }
 
     /// Returns a 503 that asks the client to retry soon.
-    pub fn busy(reason: &str) -> Reply {
-        Reply { retry_after: Some(RETRY_AFTER_S), ..Reply::error(503, reason) }
+    pub fn busy(reason: BusyReason) -> Reply {
+        Reply::retry_later(503, reason, RETRY_AFTER_S)
     }
 
     /// Returns a 429 that asks the client to retry after so many seconds. No other controller is asked instead.
-    pub fn overloaded(reason: &str, retry_after_s: u32) -> Reply {
-        Reply { retry_after: Some(retry_after_s), ..Reply::error(STATUS_OVERLOADED, reason) }
+    pub fn overloaded(reason: BusyReason, retry_after_s: u32) -> Reply {
+        Reply::retry_later(STATUS_OVERLOADED, reason, retry_after_s)
+    }
+
+    fn retry_later(status: u16, reason: BusyReason, retry_after_s: u32) -> Reply {
+        let refusal = Reply::error(status, &reason.to_string());
+        Reply { retry_after: Some(retry_after_s), busy_reason: Some(reason), ..refusal }
     }
 }
 
--- a/tests/compatibility/samples.rs
+++ b/tests/compatibility/samples.rs
@@ -2,7 +2,6 @@
 //! outside services see. The fixtures hold what earlier versions wrote for exactly these values.
 
 use crowstall::model::*;
-use crowstall::protocol::Reply;
 use crowstall::protocol::cloud::CloudCall;
 use crowstall::protocol::peers::{ForwardedRequest, MachineOffer, PeerMessage};
 use crowstall::protocol::state::{Change, Condition, StateCall};
@@ -11,6 +10,7 @@
 };
 use crowstall::protocol::workers::{Command, Exit, TaskState, TaskStatus, WorkerCall, WorkerHeartbeat};
 use crowstall::protocol::workers::{accepted, redirect};
+use crowstall::protocol::{BusyReason, Reply};
 use crowstall::storage::records::{self, EndRecord, LiveRecord, LivenessRecord};
 use crowstall::storage::records::{MachineRecord, PartRecord, PreviousTermRecord, ShardRecord};
 use crowstall::time::Span;
@@ -211,7 +211,8 @@
     visitor.message("Ask.Forecast", forwarded(ForwardedRequest::Forecast(job)));
     visitor.message("Ask.Report", forwarded(ForwardedRequest::WorkerHeartbeat(Box::new(worker_heartbeat()))));
     visitor.message("Answer", PeerMessage::Answer { number: 72, reply: Reply::error(404, "no such job") });
-    visitor.message("Answer.busy", PeerMessage::Answer { number: 73, reply: Reply::busy("not held here") });
+    let busy = Reply { busy_reason: None, ..Reply::busy(BusyReason::NotLeader) };
+    visitor.message("Answer.busy", PeerMessage::Answer { number: 73, reply: busy });
     visitor.message("Released", PeerMessage::Released { shard: ShardId(1) });
     visitor.message("Take", PeerMessage::Take { machine: machine.clone(), shard: ShardId(1) });
     visitor.message("Moved", PeerMessage::Moved { machine, shard: ShardId(0) });
