Soak: real controller processes on loopback under random faults, checked from outside

Three controllers run as processes with the arguments of deploy/service.toml. State service, cloud, workers, users, faults and checker are those of the simulation, which runs in real time with remote controllers; they speak the published protocol over TCP. Links between controllers pass a proxy that holds back what is sent; the other links are cut where the simulation cuts them. Processes are killed, restarted and stopped.

The simulation stops when a controller has broken an invariant of its own.

--- a/tests/simulation/controllers.rs
+++ b/tests/simulation/controllers.rs
@@ -62,11 +62,11 @@
     pub(super) label: NodeLabel,
     /// The running process, unless it has crashed.
     pub(super) process: Option<Controller>,
-    incarnation: u64,
+    pub(super) incarnation: u64,
     /// The speed of its clock relative to the simulation's.
     clock_rate: f64,
     /// Outbound calls without an answer.
-    pending_calls: BTreeSet<OutboundCallId>,
+    pub(super) pending_calls: BTreeSet<OutboundCallId>,
     /// Client requests without a reply.
     open_requests: HashMap<u64, RequestOrigin>,
     started_at: u64,
@@ -95,6 +95,9 @@
     /// Kills a controller process; the next one starts after `down_for`.
     pub fn crash(&mut self, node: usize, down_for: u64) {
         self.trace_line(|| format!("controller {node} crashes"));
+        if let Some(remote) = &mut self.remote {
+            remote.kill(node);
+        }
         let controller = &mut self.controllers[node];
         controller.process = None;
         controller.frozen_until = 0;
@@ -111,7 +114,10 @@
     /// Stops a controller process for a while, as if its machine was overloaded; what arrives for it waits.
     pub fn freeze(&mut self, node: usize, duration: u64) {
         self.trace_line(|| format!("controller {node} is frozen for {} ms", duration / MS));
-        self.controllers[node].frozen_until = self.now + duration;
+        match &mut self.remote {
+            Some(remote) => remote.freeze(node, duration),
+            None => self.controllers[node].frozen_until = self.now + duration,
+        }
     }
 
     /// Has the next process of a controller use another label and address.
@@ -125,7 +131,10 @@
 impl Simulation {
     /// Whether a controller process is running.
     pub fn is_up(&self, node: usize) -> bool {
-        self.controllers[node].process.is_some()
+        match &self.remote {
+            Some(remote) => remote.is_up(node),
+            None => self.controllers[node].process.is_some(),
+        }
     }
 
     /// Returns the controllers that are running.
@@ -161,7 +170,9 @@
         let id = ClientRequestId(self.next_sequence_number());
         self.awaited_reply = None;
         self.awaited_request = Some(id);
-        if self.is_up(node) {
+        if let Some(remote) = &mut self.remote {
+            remote.send_request(node, id.0, &request);
+        } else if self.is_up(node) {
             self.deliver(node, Event::ClientRequest { id, client_request: request });
         }
         let until = self.now + timeout;
@@ -224,6 +235,9 @@
         controller.started_at = self.now;
         let incarnation = controller.incarnation;
         let seed: u64 = self.rng.random();
+        if let Some(remote) = &mut self.remote {
+            return remote.start(node);
+        }
         let process = Controller::new(self.settings[node].clone(), seed, self.clock(node));
         self.controllers[node].process = Some(process);
         self.schedule(self.now + 1, ScheduledEvent::ControllerTick { node, incarnation });
@@ -246,6 +260,9 @@
             self.heartbeats += u64::from(is_heartbeat);
             let id = self.next_sequence_number();
             self.controllers[node].open_requests.insert(id, origin);
+            if let Some(remote) = &mut self.remote {
+                return remote.send_request(node, id, &request);
+            }
             self.deliver(node, Event::ClientRequest { id: ClientRequestId(id), client_request: request });
         }
     }
@@ -264,6 +281,9 @@
     pub(super) fn answer_arrives(&mut self, node: usize, incarnation: u64, call: OutboundCallId, event: Event) {
         let controller = &mut self.controllers[node];
         if controller.incarnation == incarnation && controller.pending_calls.remove(&call) {
+            if let Some(remote) = &mut self.remote {
+                return remote.send_answer(event);
+            }
             self.deliver(node, event);
         }
     }
@@ -289,7 +309,9 @@
         if let Some(digest) = &mut self.digest {
             digest.event(self.now, node, &event);
         }
-        for action in process.handle(clock, event) {
+        let actions = process.handle(clock, event);
+        assert_eq!(process.invariant_violations(), 0, "controller {node} has broken an invariant, see its log");
+        for action in actions {
             if let Some(digest) = &mut self.digest {
                 digest.action(node, &action);
             }
@@ -352,7 +374,7 @@
         self.schedule(at, ScheduledEvent::CallTimeout { node, incarnation, call, service });
     }
 
-    fn send_reply(&mut self, node: usize, id: ClientRequestId, reply: Reply) {
+    pub(super) fn send_reply(&mut self, node: usize, id: ClientRequestId, reply: Reply) {
         let Some(origin) = self.controllers[node].open_requests.remove(&id.0) else { return };
         let to = match origin {
             RequestOrigin::User { .. } | RequestOrigin::MalformedRequest { .. } => Endpoint::Users,
--- a/tests/simulation/events.rs
+++ b/tests/simulation/events.rs
@@ -74,6 +74,9 @@
 
     /// Runs until that time, or until a rule is violated.
     pub fn run_until(&mut self, end: u64) {
+        if self.remote.is_some() {
+            return self.run_remote_until(end);
+        }
         while let Some((&(time, _), _)) = self.queue.first_key_value() {
             if time > end || !self.violations.is_empty() {
                 break;
@@ -97,7 +100,7 @@
     }
 
     #[expect(clippy::too_many_lines, reason = "one arm for each kind of event")]
-    fn dispatch(&mut self, event: ScheduledEvent) {
+    pub(super) fn dispatch(&mut self, event: ScheduledEvent) {
         // What arrives at a frozen process waits until the process goes on.
         if let Some(node) = event.handling_controller()
             && self.is_up(node)
--- a/tests/simulation/faults.rs
+++ b/tests/simulation/faults.rs
@@ -35,6 +35,27 @@
         self.run_for(duration);
     }
 
+    /// Ends the faults that have a duration.
+    pub fn end_faults(&mut self) {
+        let now = self.now;
+        self.partitions.clear();
+        self.slow_links.clear();
+        self.duplicate_heartbeats = None;
+        self.request_storm_until = now;
+        self.cloud.no_capacity_until = now;
+        self.cloud.boot_time_factors = None;
+        self.state_service.outage_until = self.state_service.outage_until.min(now);
+        self.state_service.refused_until = [0; CONTROLLERS];
+        self.state_service.unanswered_controller = None;
+        self.state_service.delayed_commits = None;
+        self.state_service.slow_answers = None;
+        for worker in self.workers.values_mut() {
+            worker.hung_until = worker.hung_until.min(now);
+            worker.answers_lost_until = worker.answers_lost_until.min(now);
+            worker.heartbeats_blocked_until = worker.heartbeats_blocked_until.min(now);
+        }
+    }
+
     /// Injects one fault of any kind.
     pub fn inject_random_fault(&mut self) {
         let parameters = self.draw_fault_parameters();
--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -18,8 +18,9 @@
 mod heartbeat_copies;
 pub mod malformed_requests;
 pub mod network;
+pub mod remote;
 pub mod safeguards;
-mod settings;
+pub mod settings;
 mod setup;
 mod state_calls;
 pub mod state_service;
@@ -84,6 +85,8 @@
     pub disabled: DisabledSafeguard,
     pub settings: Vec<Settings>,
     controllers: Vec<controllers::SimulatedController>,
+    /// The controllers, if they are real processes.
+    remote: Option<Box<dyn remote::RemoteControllers>>,
     queue: events::EventQueue,
     sequence_number: u64,
     pub state_service: state_service::StateService,
--- a/tests/simulation/network.rs
+++ b/tests/simulation/network.rs
@@ -49,7 +49,7 @@
 
 impl NetworkPartition {
     /// Whether the partition separates two endpoints.
-    fn separates(&self, from: Endpoint, to: Endpoint) -> bool {
+    pub(super) fn separates(&self, from: Endpoint, to: Endpoint) -> bool {
         let directed = |from: Endpoint, to: Endpoint| {
             self.one_end.includes(from) && self.other_end.is_none_or(|other_end| other_end.includes(to))
         };
--- a/tests/simulation/setup.rs
+++ b/tests/simulation/setup.rs
@@ -20,6 +20,7 @@
             disabled,
             settings: Vec::new(),
             controllers: Vec::new(),
+            remote: None,
             queue: BTreeMap::new(),
             sequence_number: 0,
             state_service: state_service::StateService::default(),
--- a/tests/simulation/workers.rs
+++ b/tests/simulation/workers.rs
@@ -346,9 +346,10 @@
         worker.heartbeat_in_flight = Some(HeartbeatInFlight { sequence_number, sent_at: now, epoch: worker.epoch });
         let interval = self.rng.random_range(750 * MS..1250 * MS);
         let arrival = self.packet_arrival(Endpoint::Machine(number), Endpoint::Controller(node));
+        let is_up = self.is_up(node);
         let Some(worker) = self.workers.get_mut(&number) else { return };
         worker.next_heartbeat = now + interval;
-        if self.controllers[node].process.is_none() {
+        if !is_up {
             // The connection is refused at once.
             worker.heartbeat_in_flight = None;
             return worker.turn_to_next_after(node, now);
--- /dev/null
+++ b/tests/soak/main.rs
@@ -0,0 +1,100 @@
+//! Soak: real controller processes on loopback, as `deploy/service.toml` starts them, under random faults.
+//!
+//! State service, cloud, workers, users, faults and checker are those of the simulation, behind sockets ([`processes`],
+//! [`services`], [`clients`], [`links`]). A seed decides the jobs, the faults and the users' requests; the order in which
+//! messages arrive is the machine's. Only the safety rules and their own bounds are checked, never a speed.
+//!
+//! `SEEDS=0..50 cargo test --release --test soak -- --nocapture` runs other seeds, one after the other.
+
+#[path = "../simulation/mod.rs"]
+mod simulation;
+
+mod clients;
+mod links;
+mod processes;
+mod services;
+mod wire;
+
+use crowstall::model::JobKind;
+use crowstall::protocol::users::ClientRequest;
+use processes::ProcessControllers;
+use rand::Rng;
+use simulation::users::spec;
+use simulation::{CONTROLLERS, FOREVER, SEC, Simulation};
+
+/// How many random faults a run has, and within which time.
+const FAULTS: u32 = 8;
+const FAULT_SPAN: u64 = 20 * SEC;
+/// How long the cluster runs without faults. Longer than the time in which every job must be answered.
+const QUIET: u64 = 80 * SEC;
+/// How long a controller may take to report that it is ready once there are no faults.
+const READY_TIMEOUT: u64 = 10 * SEC;
+/// The seeds that run in CI, side by side.
+const CI_SEEDS: [u64; 3] = [0, 1, 2];
+
+/// Runs one seed. Panics if a rule is violated or a process has ended by itself.
+fn run(seed: u64) {
+    let workers = if seed % 3 == 2 { 60 } else { 10 };
+    let remote = ProcessControllers::new(seed);
+    let mut simulation = Simulation::with_remote_controllers(seed, [workers, workers], Box::new(remote));
+    add_jobs(&mut simulation, workers as u32);
+    simulation.schedule_malformed_requests(100 * SEC, 2 * SEC);
+    simulation.run_until(6 * SEC);
+    simulation.consistency_checks_until = 100 * SEC;
+    simulation.run_with_random_faults(FAULTS, FAULT_SPAN, |_, _| {});
+    simulation.end_faults();
+    simulation.run_without_faults(0, QUIET);
+    println!(
+        "seed {seed}: {} starts, {} of {} jobs over, longest unanswered {} s, longest wait beside room {} s, {} terms",
+        simulation.starts,
+        simulation.users.iter().filter(|user| user.is_over()).count(),
+        simulation.users.len(),
+        simulation.observations.longest_unanswered / SEC,
+        simulation.observations.longest_starvation / SEC,
+        simulation.state_service.leadership_acquisitions
+    );
+    simulation.assert_no_violations_in(format!("SEEDS={seed}..{} cargo test --release --test soak", seed + 1));
+    for node in 0..CONTROLLERS {
+        let reply = simulation.request(node, ClientRequest::Up, READY_TIMEOUT);
+        let is_ready = reply.as_ref().is_some_and(|reply| reply.status == 200);
+        assert!(is_ready, "seed {seed}: controller {node} is not ready: {reply:?}");
+    }
+    assert!(simulation.starts > 0, "seed {seed}: nothing was started");
+}
+
+/// Adds arrays and services, some of which are cancelled.
+fn add_jobs(simulation: &mut Simulation, workers: u32) {
+    for id in 0..3 * workers {
+        let is_service = id % 4 == 0;
+        let kind = if is_service { JobKind::Service } else { JobKind::Array };
+        let team = if simulation.rng.random_bool(0.2) { "limited" } else { "free" };
+        let tasks = simulation.rng.random_range(1..if is_service { 3 } else { 8 });
+        let mut job = spec(id, kind, team, tasks, 2.0);
+        job.spot = !is_service && simulation.rng.random_bool(0.5);
+        let run_time = if is_service { FOREVER } else { simulation.rng.random_range(SEC..8 * SEC) };
+        let cancelled = is_service || simulation.rng.random_bool(0.3);
+        let cancel_after = cancelled.then(|| simulation.rng.random_range(5 * SEC..60 * SEC));
+        let submit_at = 3 * SEC + simulation.rng.random_range(0..50 * SEC);
+        simulation.add_user(job, run_time, submit_at, cancel_after, false);
+    }
+}
+
+/// Returns the seeds `a` to `b - 1` that `SEEDS=a..b` asks for.
+fn requested_seeds() -> Option<std::ops::Range<u64>> {
+    let text = std::env::var("SEEDS").ok()?;
+    let (first, end) = text.split_once("..")?;
+    Some(first.parse().ok()?..end.parse().ok()?)
+}
+
+#[test]
+fn no_rule_is_violated_by_real_processes_under_faults() {
+    if let Some(seeds) = requested_seeds() {
+        return seeds.for_each(run);
+    }
+    let runs: Vec<_> = CI_SEEDS.into_iter().map(|seed| std::thread::spawn(move || run(seed))).collect();
+    // All runs are joined before the first failure is passed on, so that no controller process outlives the test.
+    let results: Vec<_> = runs.into_iter().map(|run| run.join()).collect();
+    for result in results {
+        result.unwrap_or_else(|panic| std::panic::resume_unwind(panic));
+    }
+}
--- /dev/null
+++ b/tests/soak/services.rs
@@ -0,0 +1,88 @@
+//! HTTP servers for the controllers' calls to the state service, the cloud and the workers.
+//!
+//! Each connection has a thread that reads one request at a time, passes it on and waits for the response.
+
+use crowstall::transport::http::{self, Parsed, Request};
+use std::io::{Read, Write};
+use std::net::{SocketAddrV4, TcpListener, TcpStream};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::time::Duration;
+
+/// How long a connection may be idle.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+/// How long a response may take. Controllers wait for less, and give their connection up then.
+const RESPONSE_TIMEOUT: Duration = Duration::from_secs(6);
+
+/// The service that a server stands for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Service {
+    /// The state service as one controller reaches it.
+    State { node: usize },
+    /// The cloud as one controller reaches it.
+    Cloud { node: usize },
+    /// All workers. Each has an address of its own.
+    Workers,
+}
+
+/// A call that has arrived.
+pub struct IncomingCall {
+    /// The service that was called.
+    pub service: Service,
+    /// The address at which the call has arrived.
+    pub addr: SocketAddrV4,
+    /// The call.
+    pub request: Request,
+    /// Where the response goes. The connection is closed if this is dropped without one.
+    pub response: Sender<Vec<u8>>,
+}
+
+/// Listens at an address and passes on what arrives, until the process ends.
+pub fn serve(service: Service, addr: &str, calls: Sender<IncomingCall>) -> SocketAddrV4 {
+    let listener = TcpListener::bind(addr).expect("loopback addresses are free");
+    let local = v4(listener.local_addr().expect("a listener has an address"));
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let calls = calls.clone();
+            match stream {
+                Ok(stream) => _ = std::thread::spawn(move || serve_connection(service, stream, &calls)),
+                Err(error) => eprintln!("the test cannot accept a connection to {service:?}: {error}"),
+            }
+        }
+    });
+    local
+}
+
+fn v4(addr: std::net::SocketAddr) -> SocketAddrV4 {
+    match addr {
+        std::net::SocketAddr::V4(addr) => addr,
+        std::net::SocketAddr::V6(addr) => panic!("{addr} is not IPv4"),
+    }
+}
+
+fn serve_connection(service: Service, mut stream: TcpStream, calls: &Sender<IncomingCall>) {
+    let Ok(addr) = stream.local_addr().map(v4) else { return };
+    if stream.set_read_timeout(Some(IDLE_TIMEOUT)).is_err() || stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let (mut input, mut chunk) = (Vec::new(), [0; 16 * 1024]);
+    loop {
+        match http::parse_request(&input) {
+            Ok(Parsed::Complete(request, length)) => {
+                input.drain(..length);
+                let (response, answered): (Sender<Vec<u8>>, Receiver<Vec<u8>>) = channel();
+                if calls.send(IncomingCall { service, addr, request, response }).is_err() {
+                    return;
+                }
+                let Ok(bytes) = answered.recv_timeout(RESPONSE_TIMEOUT) else { return };
+                if stream.write_all(&bytes).is_err() {
+                    return;
+                }
+            }
+            Ok(Parsed::Partial) => match stream.read(&mut chunk) {
+                Ok(0) | Err(_) => return,
+                Ok(count) => input.extend_from_slice(&chunk[..count]),
+            },
+            Err(_) => return,
+        }
+    }
+}
