Ask for the level of a rate limiter in one place, and for a shard's leader only where it is not led here

From a last reading of the change: is_filled_to repeated the comparison of is_filled_beyond; each tick looked up the leader of a shard that this node leads before it found that it leads it; a blank line was lost with a constant.

--- a/src/coordination/controller.rs
+++ b/src/coordination/controller.rs
@@ -191,10 +191,14 @@
     fn share_of_limit(&self, even_part: f64) -> f64 {
         let nodes = self.settings.nodes.len() as f64;
         let team_shards = self.settings.team_shards();
-        let part_of = |shard: ShardId| match self.reachable_leader(shard) {
-            _ if self.shards.contains_key(&shard) => 1.0,
-            Some(_) => 0.0,
-            None => 1.0 / nodes,
+        let part_of = |shard: ShardId| {
+            if self.shards.contains_key(&shard) {
+                1.0
+            } else if self.reachable_leader(shard).is_some() {
+                0.0
+            } else {
+                1.0 / nodes
+            }
         };
         let parts: f64 = (0..team_shards).map(ShardId).map(part_of).sum();
         even_part / nodes + (1.0 - even_part) * parts / f64::from(team_shards)
--- a/src/coordination/dependencies/traversal.rs
+++ b/src/coordination/dependencies/traversal.rs
@@ -16,6 +16,7 @@
 
 /// How many records are read for one poll, at the most.
 const MAX_READS: u32 = 64;
+
 impl DependencyTraversal {
     /// The traversal that begins at a waiting job.
     fn new(requester: Requester, record: &LiveRecord) -> DependencyTraversal {
--- a/src/storage/rate_limiter.rs
+++ b/src/storage/rate_limiter.rs
@@ -48,8 +48,7 @@
 
     /// Whether the bucket is filled to at least this share, so that a request which can wait delays no other.
     pub fn is_filled_to(&mut self, now: Time, share: f64) -> bool {
-        self.refill(now);
-        self.tokens >= self.burst * share
+        self.is_filled_beyond(now, share, 0.0)
     }
 
     /// Whether the bucket is filled to at least this part of a burst, which is negative in debt, and `more` tokens.
