Log the transport's connections, refusals and times to reply by kind of client

The log said nothing of client connections that were refused or closed, of requests whose client had left, of the time that requests wait inside the process, or of calls that expire before a connection to their target is free. One line a minute says so now, as counted by the transport. Behaviour is unchanged.

--- a/src/service.rs
+++ b/src/service.rs
@@ -13,7 +13,7 @@
 use crate::protocol::{CallError, Outgoing, users};
 use crate::time::{Span, Time};
 use crate::transport::http::{OutgoingRequest, Request, Response};
-use crate::transport::{CallId, NetEvent, RequestId, Transport};
+use crate::transport::{CallId, HEALTH_PATH, NetEvent, RequestId, Transport};
 use calloop::EventLoop;
 use std::collections::HashMap;
 use std::io;
@@ -32,8 +32,8 @@
 const PROBE_TIMEOUT: Span = Span::millis(450);
 /// Time without a message from a peer after which the connection to it is closed and dialled again.
 const PEER_SILENCE_TIMEOUT: Span = Span::millis(2500);
-/// Path of the health check of a controller, which probes call.
-const HEALTH_PATH: &str = "/up";
+/// Interval at which the statistics of the transport are logged.
+const STATISTICS_INTERVAL: Span = Span::millis(60_000);
 
 /// Error that ends a controller.
 #[derive(Debug, Error)]
@@ -136,6 +136,7 @@
     controller: Mutex<Controller>,
     pending_calls: HashMap<CallId, PendingCall>,
     peers: HashMap<NodeLabel, PeerContact>,
+    statistics_logged_at: Time,
 }
 
 impl Service {
@@ -147,6 +148,7 @@
             pending_calls: HashMap::new(),
             peers: settings.peers.iter().map(|(label, addr)| (label.clone(), contact(*addr))).collect(),
             settings,
+            statistics_logged_at: transport.clock(),
         }
     }
 
@@ -156,6 +158,15 @@
         self.handle_network_events(transport);
         self.handle_event(transport, Event::Tick);
         self.redial_silent_peers(transport);
+        self.log_statistics_if_due(transport);
+    }
+
+    fn log_statistics_if_due(&mut self, transport: &mut Transport) {
+        let now = transport.clock();
+        if now.since(self.statistics_logged_at) >= STATISTICS_INTERVAL {
+            self.statistics_logged_at = now;
+            log::info!("transport in the last minute: {}", transport.take_statistics());
+        }
     }
 
     /// Passes all received network events to the controller.
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -3,5 +3,7 @@
 
 pub mod http;
 mod reactor;
+mod request_kind;
 
-pub use reactor::{CallId, MAX_FRAME, NetEvent, RequestId, Transport};
+pub use reactor::{CallId, MAX_FRAME, NetEvent, RequestId, Transport, TransportStatistics};
+pub use request_kind::{HEALTH_PATH, RequestKind};
--- a/src/transport/reactor.rs
+++ b/src/transport/reactor.rs
@@ -9,6 +9,9 @@
 mod listener;
 mod outgoing_calls;
 mod peer_links;
+mod statistics;
+
+pub use statistics::TransportStatistics;
 
 use super::http::{Request, Response};
 use crate::time::{Span, Time};
@@ -94,6 +97,7 @@
     peers: HashMap<SocketAddrV4, PeerLink>,
     inbox: VecDeque<NetEvent>,
     read_buffer: Box<[u8]>,
+    statistics: TransportStatistics,
     started: Instant,
     now: Time,
 }
@@ -110,6 +114,7 @@
             peers: HashMap::new(),
             inbox: VecDeque::new(),
             read_buffer: vec![0; READ_BUFFER_BYTES].into_boxed_slice(),
+            statistics: TransportStatistics::default(),
             started: Instant::now(),
             now: Time::ZERO,
         }
@@ -132,6 +137,11 @@
         self.close_stale_connections();
     }
 
+    /// Returns the statistics since the previous call.
+    pub fn take_statistics(&mut self) -> TransportStatistics {
+        std::mem::take(&mut self.statistics)
+    }
+
     fn close_stale_connections(&mut self) {
         let now = self.now;
         let is_stale = |(id, connection): (&ConnectionId, &Connection)| connection.is_stale(now).then_some(*id);
@@ -143,6 +153,12 @@
 
     /// Starts to connect to `target`. Returns `None` if that fails at once.
     fn dial(&mut self, target: SocketAddrV4, kind: ConnectionKind) -> Option<ConnectionId> {
+        let id = self.open(target, kind);
+        self.statistics.failed_dials += u64::from(id.is_none());
+        id
+    }
+
+    fn open(&mut self, target: SocketAddrV4, kind: ConnectionKind) -> Option<ConnectionId> {
         let socket = Socket::new(Domain::IPV4, Type::STREAM, Some(Protocol::TCP)).ok()?;
         socket.set_nonblocking(true).ok()?;
         match socket.connect(&SocketAddr::V4(target).into()) {
@@ -169,6 +185,7 @@
         let token = self.handle.insert_source(source, on_ready).ok()?;
         let registration = Registration::new(self.handle.clone(), token);
         self.connections.insert(id, Connection::new(stream, registration, kind, self.now));
+        self.statistics.max_connections = self.statistics.max_connections.max(self.connections.len());
         Some(id)
     }
 
--- a/src/transport/reactor/client_connections.rs
+++ b/src/transport/reactor/client_connections.rs
@@ -1,8 +1,10 @@
 //! HTTP server connections: requests of clients, that is, users and workers, and the replies to them.
 
 use super::connection::{ConnectionId, ConnectionKind};
+use super::statistics::OpenRequest;
 use super::{MIN_IDLE_BEFORE_EVICTION, NetEvent, RequestId, Transport};
 use crate::time::Time;
+use crate::transport::RequestKind;
 use crate::transport::http::{self, ParseError, Parsed};
 use std::cell::Cell;
 use std::collections::HashMap;
@@ -23,8 +25,8 @@
 pub(super) struct ClientConnections {
     slots: ClientSlots,
     last_request: RequestId,
-    /// Connections of the requests that wait for a reply.
-    requests: HashMap<RequestId, ConnectionId>,
+    /// Requests that wait for a reply.
+    requests: HashMap<RequestId, OpenRequest>,
 }
 
 impl ClientConnections {
@@ -37,10 +39,10 @@
         }
     }
 
-    /// Assigns a new id to a request of a connection.
-    fn add_request(&mut self, connection: ConnectionId) -> RequestId {
+    /// Assigns a new id to a request.
+    fn add_request(&mut self, request: OpenRequest) -> RequestId {
         self.last_request = RequestId(self.last_request.0 + 1);
-        self.requests.insert(self.last_request, connection);
+        self.requests.insert(self.last_request, request);
         self.last_request
     }
 }
@@ -100,7 +102,11 @@
         if self.clients.slots.is_exhausted() {
             self.close_longest_idle_client();
         }
-        let Some(slot) = self.clients.slots.acquire() else { return };
+        let Some(slot) = self.clients.slots.acquire() else {
+            self.statistics.refused += 1;
+            return;
+        };
+        self.statistics.accepted += 1;
         let state = ClientState { pending_request: None, close_after_reply: false, request_started: None, _slot: slot };
         self.register(stream, ConnectionKind::Client(state));
     }
@@ -113,6 +119,7 @@
         });
         let longest_idle = idle.min_by_key(|(_, connection)| connection.last_active);
         if let Some(id) = longest_idle.map(|(id, _)| *id) {
+            self.statistics.evicted += 1;
             self.close(id);
         }
     }
@@ -134,7 +141,9 @@
                 client.request_started.get_or_insert(self.now);
             }
             Ok(Parsed::Complete(request, length)) => {
-                let request_id = self.clients.add_request(id);
+                let kind = RequestKind::of_path(&request.path);
+                let open_request = OpenRequest { connection: id, kind, received_at: self.now };
+                let request_id = self.clients.add_request(open_request);
                 client.pending_request = Some(request_id);
                 client.request_started = None;
                 client.close_after_reply = request.close;
@@ -158,7 +167,9 @@
 
     /// Replies to a request. Does nothing if the connection of the request has been closed.
     pub fn reply(&mut self, id: RequestId, status: u16, retry_after: Option<u32>, body: &[u8]) {
-        let Some(connection_id) = self.clients.requests.remove(&id) else { return };
+        let Some(request) = self.clients.requests.remove(&id) else { return };
+        let connection_id = request.connection;
+        self.statistics.record_reply(request.kind, self.now.since(request.received_at), true);
         let Some(connection) = self.connections.get_mut(&connection_id) else { return };
         let ConnectionKind::Client(client) = &mut connection.kind else { return };
         client.pending_request = None;
@@ -170,8 +181,10 @@
 
     /// Removes the request that waited for a reply on a closed connection.
     pub(super) fn client_closed(&mut self, client: &ClientState) {
-        if let Some(request) = client.pending_request {
-            self.clients.requests.remove(&request);
+        if let Some(request) = client.pending_request
+            && let Some(request) = self.clients.requests.remove(&request)
+        {
+            self.statistics.record_reply(request.kind, self.now.since(request.received_at), false);
         }
     }
 }
--- a/src/transport/reactor/outgoing_calls.rs
+++ b/src/transport/reactor/outgoing_calls.rs
@@ -23,6 +23,7 @@
 
 /// Call without an answer so far.
 struct OutgoingCall {
+    started_at: Time,
     deadline: Time,
     target: SocketAddrV4,
     /// Serialized request; empty after it has been moved to the output of a connection.
@@ -82,7 +83,8 @@
     pub fn call(&mut self, call: CallId, target: SocketAddrV4, request: &OutgoingRequest<'_>, timeout: Span) {
         let request_bytes = http::write_request(request, &target.to_string());
         let deadline = self.now + timeout;
-        self.outgoing.calls.insert(call, OutgoingCall { deadline, target, request_bytes, connection: None });
+        let outgoing = OutgoingCall { started_at: self.now, deadline, target, request_bytes, connection: None };
+        self.outgoing.calls.insert(call, outgoing);
         self.outgoing.pool(target).queue.push_back(call);
         self.start_queued_calls(target);
     }
@@ -141,6 +143,8 @@
         let Some(connection) = self.connections.get_mut(&id) else { return };
         let Some(outgoing) = self.outgoing.calls.get_mut(&call) else { return };
         outgoing.connection = Some(id);
+        let wait = self.now.since(outgoing.started_at);
+        self.statistics.longest_call_wait = self.statistics.longest_call_wait.max(wait);
         connection.kind = ConnectionKind::Service { target, call: Some(call) };
         connection.last_active = self.now;
         connection.output.extend(std::mem::take(&mut outgoing.request_bytes));
@@ -226,6 +230,10 @@
 
     fn expire_call(&mut self, id: CallId) {
         let Some(call) = self.outgoing.calls.remove(&id) else { return };
+        match call.connection {
+            Some(_) => self.statistics.calls_expired_in_flight += 1,
+            None => self.statistics.calls_expired_in_queue += 1,
+        }
         self.inbox.push_back(NetEvent::Answer { call: id, response: None });
         // The idle connections to the target may be broken as well, so they are closed instead of being reused.
         let idle = std::mem::take(&mut self.outgoing.pool(call.target).idle);
