Bound the search for room of a round of preemption, so that a busy leader is not fenced

What callers saw: at about 4,000 machines, polls and cancellations got 503 or no answer for seconds again and again, also without any fault, since leadership of the teams' shard changed every few seconds.

Cause: every tenth of a second, preemption looked for room for each waiting task on each machine, and for jobs with a zone constraint counted all attempts once more for each of these machines. The class: work in one turn of the loop whose size grows with machines times jobs, on the thread that has deadlines to keep.

The fix: machines are indexed by class for a round; a job's restrictions are checked once for a class, zone counts are taken in one pass, and a class without room for some needs is not searched again for the same or greater needs until room is freed there. A round ends after inspecting the fleet eight times; the next one continues with the job at which it ended. That a round keeps its limit is checked at run time, logged and counted as an invariant.

The simulation gets controllers that work at a finite, deterministic rate, and counts a poll as answered only within the two seconds for which its user waits.

--- a/src/coordination/controller.rs
+++ b/src/coordination/controller.rs
@@ -181,6 +181,12 @@
         self.shards.values().map(|shard| shard.inspections.get()).sum()
     }
 
+    /// Returns how many machines and attempts were inspected so far in search of room for waiting tasks: a measure of
+    /// the cost of preemption that does not depend on the speed of the machine.
+    pub fn preemption_inspections(&self) -> u64 {
+        self.shards.values().map(|shard| shard.preemption_inspections.get()).sum()
+    }
+
     /// Recomputes this node's share of the rate limits of the state service and the cloud.
     pub(super) fn update_rate_limit_shares(&mut self) {
         let requests_per_second = self.settings.state_rps * self.fraction_of_limit(EVEN_FRACTION_OF_REQUESTS);
--- a/src/coordination/outbound_calls.rs
+++ b/src/coordination/outbound_calls.rs
@@ -39,7 +39,8 @@
     worker_calls: HashMap<OutboundCallId, PendingWorkerCall>,
     /// Admission within this node's share of the state service's rate limits.
     admission: StateAdmission,
-    /// Number of calls of bounded traffic classes that were to be sent without having been admitted.
+    /// Number of violated invariants: calls of bounded traffic classes that were to be sent without having been
+    /// admitted, and work beyond a limit.
     invariant_violations: u64,
     /// Calls to the state service that were not sent, because they had not been admitted.
     not_admitted: Vec<PendingStateCall>,
@@ -112,7 +113,7 @@
     pub fn send_to_state(&mut self, now: Time, request: StateCall, operation: StateOperation) {
         if let Err(error) = self.admission.send(now, operation.traffic_class(), request.writes()) {
             log::error!("invariant violated: {error}; not sending it: {request:?}");
-            self.invariant_violations += 1;
+            self.record_invariant_violation();
             self.not_admitted.push(PendingStateCall { sent: now, operation, record_kinds: Vec::new() });
             return;
         }
@@ -125,7 +126,12 @@
         self.actions.push(Action::State { call, request });
     }
 
-    /// Returns the number of calls that were not sent because they had not been admitted.
+    /// Records that this controller has violated one of its own invariants.
+    pub fn record_invariant_violation(&mut self) {
+        self.invariant_violations += 1;
+    }
+
+    /// Returns the number of violated invariants.
     pub fn invariant_violations(&self) -> u64 {
         self.invariant_violations
     }
--- a/src/coordination/placement/mod.rs
+++ b/src/coordination/placement/mod.rs
@@ -10,7 +10,7 @@
 mod score;
 mod urgency;
 
-pub(super) use preemption::Preemption;
+pub(super) use preemption::{Preemption, PreemptionRound};
 
 use super::shard::{Attempt, Machine, Shard};
 use crate::config::Settings;
--- a/src/coordination/placement/preemption.rs
+++ b/src/coordination/placement/preemption.rs
@@ -1,10 +1,20 @@
 //! Preemption: stopping tasks to free resources for waiting tasks of higher priority.
 
+mod room_index;
+
 use super::super::shard::{Job, Machine, Shard};
 use super::PlacementContext;
+use super::constraints::ZoneCounts;
 use super::score::PlacementScore;
 use crate::model::{AttemptNumber, JobId, MachineId, Resources};
 use crate::time::Time;
+use room_index::RoomIndex;
+use std::ops::ControlFlow;
+
+/// Number of times that a round of preemption may inspect the whole fleet.
+const FLEET_INSPECTIONS_PER_ROUND: u64 = 8;
+/// Number of inspections that a round of preemption may make in a fleet of any size.
+const MIN_INSPECTION_LIMIT: u64 = 20_000;
 
 /// Attempts on one machine that are stopped for a task of higher priority.
 pub(in crate::coordination) struct Preemption {
@@ -14,17 +24,54 @@
     pub victims: Vec<AttemptNumber>,
 }
 
-/// Resources of one machine that are free or being freed, less those that this round has assigned to waiting tasks.
-struct FreeRoom {
-    /// Machine that has the resources.
-    machine: MachineId,
-    /// Resources that are free or being freed and not yet assigned.
-    room: Resources,
+/// Result of a round of preemption.
+pub(in crate::coordination) struct PreemptionRound {
+    /// Attempts that are stopped.
+    pub preemptions: Vec<Preemption>,
+    /// Number of machines and attempts that were inspected.
+    pub inspections: u64,
+    /// `true` unless the round has inspected more than it may.
+    pub is_within_limit: bool,
+    /// `true` if the round ended at its limit, so that the next one continues.
+    pub is_cut_off: bool,
+}
+
+impl Default for PreemptionRound {
+    fn default() -> PreemptionRound {
+        PreemptionRound { preemptions: Vec::new(), inspections: 0, is_within_limit: true, is_cut_off: false }
+    }
+}
+
+/// Limit on the machines and attempts that a round of preemption inspects. It grows with the fleet and not with the
+/// number of waiting jobs, since the same thread renews leases and answers users.
+struct InspectionLimit {
+    /// Number of inspections after which the search for room for further tasks ends.
+    limit: u64,
+    /// Upper bound of the inspections for a single task.
+    per_task: u64,
+}
+
+impl InspectionLimit {
+    /// Returns the limit for the machines and attempts that were inspected to create the index.
+    fn of_index(index: &RoomIndex) -> InspectionLimit {
+        let fleet = index.inspections();
+        InspectionLimit { limit: (fleet * FLEET_INSPECTIONS_PER_ROUND).max(MIN_INSPECTION_LIMIT), per_task: 2 * fleet }
+    }
+
+    fn is_reached(&self, inspections: u64) -> bool {
+        inspections >= self.limit
+    }
+
+    /// Returns `true` if a round may have inspected this much: the search for a task that began below the limit ends
+    /// beyond it.
+    fn holds_for(&self, inspections: u64) -> bool {
+        inspections <= self.limit + self.per_task
+    }
 }
 
 /// Source of resources for a waiting task.
 enum RoomForTask {
-    /// Resources that are free or being freed on the machine at this index of the list of free resources.
+    /// Resources that are free or being freed on the machine at this index of the room index.
     Free(usize),
     /// Resources of attempts that have to be stopped.
     Preempt(PreemptionCandidate),
@@ -36,7 +83,7 @@
     score: PlacementScore,
     /// Attempts that would be stopped.
     victims: VictimSet,
-    /// Index of the machine in the list of free resources.
+    /// Index of the machine in the room index.
     index: usize,
 }
 
@@ -73,17 +120,30 @@
     /// Chooses attempts to be stopped so that waiting tasks of higher priority can be placed, and marks them as to be
     /// stopped. For each task that fits nowhere, the machine with the best placement score is used, and on it the
     /// youngest attempts are stopped, so that little work is lost.
-    pub fn preempt(&mut self, context: &PlacementContext) -> Vec<Preemption> {
-        let mut preemptions = Vec::new();
+    ///
+    /// A round that has inspected as much as its limit allows ends, and the next one starts with the job at which it
+    /// ended.
+    pub fn preempt(&mut self, context: &PlacementContext) -> PreemptionRound {
+        let mut round = PreemptionRound::default();
         let queue = self.preempting_jobs(context);
         if queue.is_empty() {
-            return preemptions;
+            return round;
         }
-        let mut free = self.free_rooms(context);
-        for job_id in &queue {
-            self.make_room_for_job(job_id, &mut free, &mut preemptions, context);
+        let mut index = RoomIndex::new(self, ZoneCounts::of_jobs(self, &queue), context);
+        let limit = InspectionLimit::of_index(&index);
+        let resumes_at = self.preemption_resumes_at.take();
+        let start = queue.iter().position(|job| resumes_at.as_ref() == Some(job)).unwrap_or(0);
+        for job_id in &queue[start..] {
+            if self.make_room_for_job(job_id, &mut index, &limit, &mut round.preemptions, context).is_break() {
+                self.preemption_resumes_at = Some(job_id.clone());
+                break;
+            }
         }
-        preemptions
+        round.inspections = index.inspections();
+        round.is_within_limit = limit.holds_for(round.inspections);
+        round.is_cut_off = self.preemption_resumes_at.is_some();
+        self.count_preemption_inspections(round.inspections);
+        round
     }
 
     /// Returns the jobs with a task to start whose own priority is higher than the priority of some job with a running
@@ -102,43 +162,41 @@
         queue.iter().filter(may_preempt).cloned().collect()
     }
 
-    /// Returns the machines that accept tasks, with the resources that are free or being freed on each. Jobs earlier in
-    /// the queue use them first.
-    fn free_rooms(&self, context: &PlacementContext) -> Vec<FreeRoom> {
-        let machines = self.machines.iter().filter(|(_, machine)| machine.accepts_tasks(context.now));
-        machines
-            .filter_map(|(id, machine)| {
-                let machine_type = context.types.get(&machine.kind)?;
-                Some(FreeRoom {
-                    machine: id.clone(),
-                    room: machine_type.capacity.minus(&machine.committed_resources()),
-                })
-            })
-            .collect()
-    }
-
     /// Finds resources for the pending tasks of a job, and marks the attempts that have to be stopped for these tasks.
+    /// Returns `Break` if the round has reached its limit.
     fn make_room_for_job(
         &mut self,
         job_id: &JobId,
-        free: &mut [FreeRoom],
+        index: &mut RoomIndex,
+        limit: &InspectionLimit,
         preemptions: &mut Vec<Preemption>,
         context: &PlacementContext,
-    ) {
+    ) -> ControlFlow<()> {
+        // All tasks of a job have the same needs, so the machines before the last one found have no room for the next.
+        let mut from = 0;
         for _ in 0..self.tasks_to_make_room_for(job_id, context) {
-            let Some(job) = self.jobs.get(job_id) else { return };
+            if limit.is_reached(index.inspections()) {
+                return ControlFlow::Break(());
+            }
+            let Some(job) = self.jobs.get(job_id) else { break };
             let needs = job.spec.needs;
-            match self.room_for_task(job, free, context) {
-                Some(RoomForTask::Free(index)) => free[index].room = free[index].room.minus(&needs),
-                Some(RoomForTask::Preempt(PreemptionCandidate { victims, index, .. })) => {
-                    let target = &mut free[index];
-                    target.room = target.room.plus(&victims.freed).minus(&needs);
-                    self.mark_victims(&target.machine, &victims.attempts);
-                    preemptions.push(Preemption { machine: target.machine.clone(), victims: victims.attempts });
+            match self.room_for_task(job, index, from, context) {
+                Some(RoomForTask::Free(machine)) => {
+                    index.assign(machine, &needs);
+                    from = machine;
                 }
-                None => return,
+                Some(RoomForTask::Preempt(PreemptionCandidate { victims, index: target, .. })) => {
+                    let machine = index.machine(target).machine.clone();
+                    let free = index.free_room(target).plus(&victims.freed).minus(&needs);
+                    self.mark_victims(&machine, &victims.attempts);
+                    index.record_preemption(self, target, free);
+                    preemptions.push(Preemption { machine, victims: victims.attempts });
+                    from = target;
+                }
+                None => break,
             }
         }
+        ControlFlow::Continue(())
     }
 
     /// Returns the number of a job's tasks that may have attempts of other jobs stopped: none if the quota of the job's
@@ -152,17 +210,21 @@
         if job.failures.fails_everywhere { 1 } else { job.progress.pending.len() }
     }
 
-    /// Returns the source of resources for one more task of the job. `None` if no machine has enough free resources and
-    /// preemption can't free enough.
-    fn room_for_task(&self, job: &Job, free: &[FreeRoom], context: &PlacementContext) -> Option<RoomForTask> {
-        let has_room =
-            |free: &FreeRoom| job.spec.needs.fits_in(&free.room) && self.may_run_on(job, &free.machine, context.now);
-        if let Some(index) = free.iter().position(has_room) {
-            return Some(RoomForTask::Free(index));
+    /// Returns the source of resources for one more task of the job, looking for free resources on the machines from
+    /// the index `from` on. `None` if no machine has enough free resources and preemption can't free enough.
+    fn room_for_task(
+        &self,
+        job: &Job,
+        index: &mut RoomIndex,
+        from: usize,
+        context: &PlacementContext,
+    ) -> Option<RoomForTask> {
+        if let Some(machine) = index.first_with_free_room(self, job, from, context) {
+            return Some(RoomForTask::Free(machine));
         }
         let mut best: Option<PreemptionCandidate> = None;
-        for (index, free) in free.iter().enumerate() {
-            let Some(candidate) = self.preemption_candidate(job, index, free, context) else { continue };
+        for machine in index.preemptible_machines(self, job, context) {
+            let Some(candidate) = self.preemption_candidate(job, machine, index, context) else { continue };
             if best.as_ref().is_none_or(|best| candidate.is_better_than(best)) {
                 best = Some(candidate);
             }
@@ -170,32 +232,21 @@
         best.map(RoomForTask::Preempt)
     }
 
-    /// Returns `true` if a task of the job may run on the machine, regardless of the machine's free resources.
-    fn may_run_on(&self, job: &Job, machine_id: &MachineId, now: Time) -> bool {
-        self.machines.get(machine_id).is_some_and(|machine| {
-            job.spec.allows(&machine.kind, &machine.zone, machine.spot)
-                && !job.avoids(machine_id, now)
-                && self.zone_allows(job, &machine.zone)
-        })
-    }
-
-    /// Returns the attempts that would be stopped on one machine for a task of the job. `None` if the task may not run
-    /// there or stopping attempts can't free enough resources.
+    /// Returns the attempts that would be stopped on the machine at an index for a task of the job. `None` if stopping
+    /// attempts can't free enough resources.
     fn preemption_candidate(
         &self,
         job: &Job,
-        index: usize,
-        free: &FreeRoom,
+        machine_index: usize,
+        index: &RoomIndex,
         context: &PlacementContext,
     ) -> Option<PreemptionCandidate> {
-        if !self.may_run_on(job, &free.machine, context.now) {
-            return None;
-        }
-        let machine = self.machines.get(&free.machine)?;
+        let machine = self.machines.get(&index.machine(machine_index).machine)?;
         let machine_type = context.types.get(&machine.kind)?;
-        let victims = self.cheapest_victims(job, machine, &free.room, context.now)?;
+        index.count_inspections(machine.attempts.len());
+        let victims = self.cheapest_victims(job, machine, index.free_room(machine_index), context.now)?;
         let score = self.placement_score(job, machine, machine_type.capacity.cpus);
-        Some(PreemptionCandidate { score, victims, index })
+        Some(PreemptionCandidate { score, victims, index: machine_index })
     }
 
     /// Returns the youngest attempts of lower priority on a machine that together free enough resources for a task of
--- a/src/coordination/request_statistics.rs
+++ b/src/coordination/request_statistics.rs
@@ -1,6 +1,7 @@
 //! Statistics for the log: counts of replies, latency of the state service, and the longest interval between ticks.
 
 use super::controller::Controller;
+use super::placement::PreemptionRound;
 use crate::protocol::{BusyReason, Reply};
 use crate::time::{Span, Time};
 use hdrhistogram::Histogram;
@@ -24,6 +25,10 @@
     state_latencies: Histogram<u32>,
     /// Longest interval between two ticks.
     longest_tick_interval: Span,
+    /// Number of machines and attempts inspected in search of room for waiting tasks.
+    preemption_inspections: u64,
+    /// Number of rounds of preemption that ended at their limit.
+    cut_off_preemption_rounds: u64,
     /// Time at which the statistics were last logged.
     logged_at: Time,
 }
@@ -38,6 +43,8 @@
             busy_replies: BTreeMap::new(),
             state_latencies,
             longest_tick_interval: Span::ZERO,
+            preemption_inspections: 0,
+            cut_off_preemption_rounds: 0,
             logged_at: now,
         }
     }
@@ -60,6 +67,12 @@
         self.longest_tick_interval = self.longest_tick_interval.max(interval);
     }
 
+    /// Records a round of preemption.
+    pub fn record_preemption_round(&mut self, round: &PreemptionRound) {
+        self.preemption_inspections += round.inspections;
+        self.cut_off_preemption_rounds += u64::from(round.is_cut_off);
+    }
+
     /// Logs the statistics and resets them if [`LOG_INTERVAL`] has passed. Logs nothing if there were no replies.
     fn log_if_due(&mut self, now: Time) {
         if now.since(self.logged_at) < LOG_INTERVAL {
@@ -68,14 +81,17 @@
         if !self.replies.is_empty() {
             log::info!(
                 "replies in the last minute, by status: {}; replies to be retried, by reason: {}; latency of the state \
-                 service: median {} ms, p99 {} ms, maximum {} ms of {} calls; longest interval between ticks: {} ms",
+                 service: median {} ms, p99 {} ms, maximum {} ms of {} calls; longest interval between ticks: {} ms; machines and attempts inspected in search \
+                 of room for waiting tasks: {}; rounds of preemption ended at their limit: {}",
                 format_counts(&self.replies),
                 format_counts(&self.busy_replies),
                 self.state_latencies.value_at_quantile(0.5),
                 self.state_latencies.value_at_quantile(0.99),
                 self.state_latencies.max(),
                 self.state_latencies.len(),
-                self.longest_tick_interval.as_millis()
+                self.longest_tick_interval.as_millis(),
+                self.preemption_inspections,
+                self.cut_off_preemption_rounds
             );
         }
         *self = RequestStatistics::new(now);
--- a/src/coordination/worker_heartbeats/direct_calls.rs
+++ b/src/coordination/worker_heartbeats/direct_calls.rs
@@ -115,8 +115,13 @@
             wall_clock_ms: self.wall_clock_ms,
         };
         let Some(shard) = self.shards.get_mut(&shard_id) else { return };
-        let preemptions = shard.preempt(&context);
-        let calls = preemptions.iter().filter_map(|preemption| shard.preemption_call(preemption)).collect();
+        let round = shard.preempt(&context);
+        self.statistics.record_preemption_round(&round);
+        if !round.is_within_limit {
+            log::error!("invariant violated: a round of preemption made {} inspections", round.inspections);
+            self.calls.record_invariant_violation();
+        }
+        let calls = round.preemptions.iter().filter_map(|preemption| shard.preemption_call(preemption)).collect();
         self.send_direct_calls(shard_id, calls);
     }
 }
--- a/tests/large_fleet.rs
+++ b/tests/large_fleet.rs
@@ -13,9 +13,8 @@
 use crowstall::time::Span;
 use crowstall::transport::http::{self, OutgoingRequest};
 use crowstall::transport::{CallId, MAX_FRAME, NetEvent, Transport};
-use simulation::state_service::RequestLimits;
 use simulation::users::spec;
-use simulation::{DisabledSafeguard, MS, SEC, Simulation};
+use simulation::{MS, SEC, Simulation};
 use std::collections::BTreeSet;
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddrV4, TcpListener, TcpStream};
@@ -328,16 +327,7 @@
 /// Returns a simulation whose cloud and state service are sized for such a fleet, with eight jobs of 520 tasks. Each
 /// task runs for `run_time` microseconds.
 fn large_fleet(seed: u64, run_time: u64) -> Simulation {
-    let mut simulation = Simulation::with_disabled_safeguard(seed, DisabledSafeguard::None, [1100, 1100], "");
-    for settings in &mut simulation.settings {
-        settings.state_rps = 2000.0;
-        settings.state_write_rps = 800.0;
-        settings.current_state_write_rps = 800.0;
-        settings.cloud_rps = 60.0;
-    }
-    simulation.state_service.request_limits =
-        RequestLimits { value_bytes: 4096, changes_per_transaction: 8, writes_per_second: 1600 };
-    simulation.cloud.reliable = true;
+    let mut simulation = Simulation::with_services_for_large_fleet(seed, [1100, 1100]);
     for id in 0..8 {
         // Each task needs a machine of its own.
         let mut job = spec(id, JobKind::Array, "free", 520, 16.0);
--- a/tests/simulation/controllers.rs
+++ b/tests/simulation/controllers.rs
@@ -74,6 +74,8 @@
     started_at: u64,
     /// End of the period in which the process handles no events while its clock continues.
     pub(super) frozen_until: u64,
+    /// Processor time of the events handled since the process last stood still for such time.
+    unpaid_processor_time: u64,
 }
 
 impl SimulatedController {
@@ -88,6 +90,7 @@
             open_requests: HashMap::new(),
             started_at: 0,
             frozen_until: 0,
+            unpaid_processor_time: 0,
         }
     }
 }
@@ -103,6 +106,7 @@
         let controller = &mut self.controllers[node];
         controller.process = None;
         controller.frozen_until = 0;
+        controller.unpaid_processor_time = 0;
         controller.pending_calls.clear();
         controller.open_requests.clear();
         self.schedule(self.now + down_for, ScheduledEvent::ControllerStart { node });
@@ -315,7 +319,9 @@
         if let Some(digest) = &mut self.digest {
             digest.event(self.now, node, &event);
         }
+        let inspections_before = process.preemption_inspections();
         let actions = process.handle(clock, event);
+        let inspections = process.preemption_inspections().saturating_sub(inspections_before);
         assert_eq!(process.invariant_violations(), 0, "controller {node} has violated an invariant, see its log");
         for action in actions {
             if let Some(digest) = &mut self.digest {
@@ -323,6 +329,17 @@
             }
             self.execute_action(node, action);
         }
+        self.charge_processor_time(node, inspections);
+    }
+
+    /// Lets a controller stand still for the processor time of the events that it has handled.
+    fn charge_processor_time(&mut self, node: usize, inspections: u64) {
+        let Some(processor) = self.processor else { return };
+        let controller = &mut self.controllers[node];
+        controller.unpaid_processor_time += processor.time_of_event(inspections);
+        if controller.unpaid_processor_time >= processor::CHARGE_INTERVAL {
+            controller.frozen_until = self.now + std::mem::take(&mut controller.unpaid_processor_time);
+        }
     }
 
     /// Carries out an action of a controller.
--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -18,6 +18,7 @@
 mod heartbeat_copies;
 pub mod malformed_requests;
 pub mod network;
+pub mod processor;
 pub mod remote;
 pub mod safeguards;
 pub mod settings;
@@ -86,6 +87,8 @@
     /// Settings of the controllers, by controller index.
     pub settings: Vec<Settings>,
     controllers: Vec<controllers::SimulatedController>,
+    /// Processor of each controller. `None`: handling an event takes no time.
+    pub processor: Option<processor::Processor>,
     /// Connection to the controllers if they run as separate processes.
     remote: Option<Box<dyn remote::RemoteControllers>>,
     queue: events::EventQueue,
--- a/tests/simulation/setup.rs
+++ b/tests/simulation/setup.rs
@@ -20,6 +20,7 @@
             disabled,
             settings: Vec::new(),
             controllers: Vec::new(),
+            processor: None,
             remote: None,
             queue: BTreeMap::new(),
             sequence_number: 0,
@@ -113,6 +114,21 @@
         simulation
     }
 
+    /// Returns a simulation with one shard whose cloud and state service are sized for thousands of machines.
+    pub fn with_services_for_large_fleet(seed: u64, stock: [usize; 2]) -> Simulation {
+        let mut simulation = Simulation::with_one_shard(seed, stock);
+        for settings in &mut simulation.settings {
+            settings.state_rps = 2000.0;
+            settings.state_write_rps = 800.0;
+            settings.current_state_write_rps = 800.0;
+            settings.cloud_rps = 60.0;
+        }
+        simulation.state_service.request_limits =
+            state_service::RequestLimits { value_bytes: 4096, changes_per_transaction: 8, writes_per_second: 1600 };
+        simulation.cloud.reliable = true;
+        simulation
+    }
+
     /// Sets CPU and GPU quotas for the free and the guest team, and makes the cloud offer machines with GPUs.
     pub fn set_quotas_of_all_teams(&mut self) {
         self.cloud.offers_gpus = true;
--- a/tests/simulation/user_answers.rs
+++ b/tests/simulation/user_answers.rs
@@ -1,6 +1,6 @@
 //! Checks of the safety rules that concern the answers to users.
 
-use super::user_requests::REQUEST_TIMEOUT;
+use super::user_requests::{POLL_TIMEOUT, REQUEST_TIMEOUT};
 use super::users::UserRequest;
 use super::*;
 
@@ -29,6 +29,9 @@
         if !self.check_status(index, sent_at, reply.status) {
             return;
         }
+        if request != UserRequest::Poll || now - sent_at <= POLL_TIMEOUT {
+            self.users[index].last_answer_at = now;
+        }
         if request == UserRequest::Submit && self.users[index].accepted_at.is_none() {
             self.users[index].accepted_at = Some(now);
             self.schedule_consistency_checks(index, true);
@@ -44,10 +47,7 @@
         // No answer may be older than the state that any controller had reported when the request was sent.
         let was_accepted = user.accepted_at.is_some_and(|accepted_at| accepted_at < sent_at);
         match status {
-            200 | 201 => {
-                user.last_answer_at = now;
-                return true;
-            }
+            200 | 201 => return true,
             400 | 404 | 422 if was_accepted => {
                 let detail = format!("a request for the accepted job {} got the status {status}", user.spec.id);
                 self.record_violation(Rule::LostJob, detail);
--- a/tests/simulation/user_requests.rs
+++ b/tests/simulation/user_requests.rs
@@ -6,6 +6,9 @@
 /// Time for which a user waits for an answer.
 pub(super) const REQUEST_TIMEOUT: u64 = 5 * SEC;
 
+/// Time for which a user waits for the answer to a poll.
+pub(super) const POLL_TIMEOUT: u64 = 2 * SEC;
+
 /// Longest time for which the user of a live job may get no answer after the faults are over.
 const MAX_UNANSWERED: u64 = 75 * SEC;
 
