Compare the room of a bin first when the fleet is planned

Each second the demand of every job is packed into every machine. For each pair the machine type was looked up by hash and names were compared before the room was, although most machines of a busy fleet are full.

--- a/src/coordination/scale_out/packing.rs
+++ b/src/coordination/scale_out/packing.rs
@@ -131,7 +131,9 @@
             if remaining == 0 {
                 return 0;
             }
-            if bin.suits(demand) && types.contains_key(&bin.class.kind) {
+            // The room is compared first, since most bins of a busy fleet are full.
+            let may_take = demand.spec.needs.fits_in(&bin.room) && bin.suits(demand);
+            if may_take && types.contains_key(&bin.class.kind) {
                 remaining = remaining.saturating_sub(bin.take(demand, remaining));
             }
         }
