Log from which knowledge dependents are reported, and doubts about final writes

A user was told that a job was withdrawn and then that it is pending.

New lines: a final write that had no answer, the observation that ends the doubt, a waiting job accepted by its leader, and, at the level debug, each reply about a job with prerequisites with its source. The statistics count these replies by state and source. Both kinds of jobs share one type for the write of their final record; FinalWrite replaces the two flags, with the same conditions.

--- a/src/coordination/dependencies/requests.rs
+++ b/src/coordination/dependencies/requests.rs
@@ -2,9 +2,9 @@
 
 use super::super::controller::Controller;
 use super::super::events::Requester;
-use super::super::user_requests::{LookupPurpose, final_reply};
+use super::super::user_requests::LookupPurpose;
 use super::super::waiting_jobs::WaitingStatus;
-use super::final_record::cancelled_before_start;
+use super::reported_state::{StateSource, withdrawn_view};
 use crate::model::{JobId, ShardId};
 use crate::protocol::users::JobView;
 use crate::protocol::{BusyReason, Reply};
@@ -15,19 +15,20 @@
         let Some(shard) = self.shards.get(&shard_id) else {
             return self.reply(requester, Reply::busy(BusyReason::NotLeader));
         };
-        let reply = match shard.waiting_jobs.status(&id) {
-            WaitingStatus::Loading => Reply::busy(BusyReason::LoadingPrerequisites),
-            WaitingStatus::Withdrawn(cause) => final_reply(&id, &cancelled_before_start(Some(cause))),
-            WaitingStatus::WriteInProgress => Reply::busy(BusyReason::FinalWritePending),
-            WaitingStatus::PrerequisiteInDoubt => Reply::busy(BusyReason::PrerequisiteWritePending),
+        let view = match shard.waiting_jobs.status(&id) {
+            WaitingStatus::Loading => return self.reply(requester, Reply::busy(BusyReason::LoadingPrerequisites)),
+            WaitingStatus::WriteInProgress => return self.reply(requester, Reply::busy(BusyReason::FinalWritePending)),
+            WaitingStatus::PrerequisiteInDoubt => {
+                return self.reply(requester, Reply::busy(BusyReason::PrerequisiteWritePending));
+            }
             WaitingStatus::PrerequisitesUnknown => {
                 return self.look_up_job(requester, id, LookupPurpose::DependencyTraversal);
             }
-            WaitingStatus::Waiting => {
-                Reply::json(200, &JobView::waiting(&id, shard.waiting_jobs.open_prerequisites(&id)))
-            }
+            WaitingStatus::Withdrawn(cause) => withdrawn_view(&id, cause),
+            WaitingStatus::Waiting => JobView::waiting(&id, shard.waiting_jobs.open_prerequisites(&id)),
         };
-        self.reply(requester, reply);
+        let source = StateSource::Memory(shard.leadership_term());
+        self.reply_about_dependent(requester, &view, source);
     }
 
     /// Cancels a waiting job. The reply is sent once the final record is durable.
@@ -35,7 +36,8 @@
         let now = self.now;
         let Some(shard) = self.shards.get_mut(&shard_id) else { return };
         if let Some(cause) = shard.waiting_jobs.withdrawn_with(&id) {
-            return self.reply(requester, final_reply(&id, &cancelled_before_start(Some(cause))));
+            let source = StateSource::Memory(shard.leadership_term());
+            return self.reply_about_dependent(requester, &withdrawn_view(&id, cause), source);
         }
         let may_record = shard.may_record_cancellations(now);
         let Some(job) = shard.waiting_jobs.waiting_job_mut(&id) else {
--- a/src/coordination/dependencies/traversal.rs
+++ b/src/coordination/dependencies/traversal.rs
@@ -4,9 +4,8 @@
 use super::super::controller::Controller;
 use super::super::events::Requester;
 use super::super::job_record_reads::{JobRecordAnswer, JobRecordKind};
-use super::super::user_requests::{final_reply, state_reply};
-use super::final_record::cancelled_before_start;
 use super::operations::{DependencyOperation, DependencyTraversal, TraversalRead};
+use super::reported_state::{StateSource, withdrawn_view};
 use crate::coordination::state_admission::TrafficClass;
 use crate::model::{FinalState, JobId};
 use crate::protocol::state::StateResult;
@@ -31,6 +30,11 @@
         }
     }
 
+    /// Returns the records that were read so far as the source of the polled job's state.
+    fn source(&self) -> StateSource {
+        StateSource::Records { reads: self.read_count }
+    }
+
     /// Adds those of the jobs that were not seen before to the jobs that have to be visited.
     fn add_unseen(&mut self, jobs: Vec<JobId>) {
         let unseen = jobs.into_iter().filter(|job| self.seen.insert(job.clone()));
@@ -55,8 +59,9 @@
             match self.directory.end_of(&job).map(|end| end.state) {
                 Some(FinalState::Done) => {}
                 Some(FinalState::Cancelled) => {
-                    let reply = final_reply(&traversal.job, &cancelled_before_start(Some(job)));
-                    return self.reply(traversal.requester, reply);
+                    let view = withdrawn_view(&traversal.job, job);
+                    let source = traversal.source();
+                    return self.reply_about_dependent(traversal.requester, &view, source);
                 }
                 None => {
                     return self.read_in_traversal(TraversalRead { traversal, job, record_kind: JobRecordKind::Live });
@@ -70,12 +75,13 @@
     /// prerequisites.
     fn finish_traversal(&mut self, traversal: DependencyTraversal) {
         let not_ended = traversal.prerequisites.iter().filter(|job| !self.directory.has_ended(job));
-        let reply = if traversal.prerequisites.is_empty() {
-            state_reply(&traversal.job, JobState::Queued, 0, 0)
+        let view = if traversal.prerequisites.is_empty() {
+            JobView::new(&traversal.job, JobState::Queued, 0, 0)
         } else {
-            Reply::json(200, &JobView::waiting(&traversal.job, not_ended))
+            JobView::waiting(&traversal.job, not_ended)
         };
-        self.reply(traversal.requester, reply);
+        let source = traversal.source();
+        self.reply_about_dependent(traversal.requester, &view, source);
     }
 
     /// Sends a read of a record, or replies "busy" if the traversal has read too many records or the rate limits admit
--- a/src/coordination/dependencies/waiting_records.rs
+++ b/src/coordination/dependencies/waiting_records.rs
@@ -3,9 +3,10 @@
 use super::super::controller::Controller;
 use super::super::events::Requester;
 use super::super::job_record_reads::{JobRecordAnswer, JobRecordKind, VersionedRecord};
-use super::super::waiting_jobs::{RecordStep, WriteUrgency};
+use super::super::waiting_jobs::{RecordStep, WaitingJob, WriteUrgency};
 use super::final_record::{cancelled_before_start, final_record_request};
 use super::operations::{DependencyOperation, WaitingRecordOperation};
+use crate::coordination::final_write::WriteOutcome;
 use crate::coordination::leadership_term::LeadershipTerm;
 use crate::coordination::state_admission::TrafficClass;
 use crate::model::{JobId, Revision, ShardId};
@@ -78,6 +79,9 @@
         if end.cause.is_none() {
             self.mark_cancellation_in_doubt(id);
         }
+        if let Some(job) = self.waiting_job_mut(shard_id, id) {
+            job.final_write_mut().sent(end.state);
+        }
         self.call_for_waiting_job(shard_id, id, request, WaitingRecordOperation::End(end));
     }
 
@@ -185,7 +189,7 @@
         let Some(shard) = self.shards.get_mut(&shard_id) else { return };
         let Some(job) = shard.waiting_jobs.waiting_job_mut(id) else { return };
         job.live_record_read(version);
-        if !job.is_final_write_in_doubt() {
+        if !job.final_write().is_in_doubt() {
             self.clear_cancellation_doubt(id);
         }
     }
@@ -193,8 +197,7 @@
     /// Schedules another read of a record that exists but cannot be parsed. The read is sent after a pause.
     fn waiting_call_failed(&mut self, shard_id: ShardId, id: &JobId) {
         let now = self.now;
-        let Some(shard) = self.shards.get_mut(&shard_id) else { return };
-        if let Some(job) = shard.waiting_jobs.waiting_job_mut(id) {
+        if let Some(job) = self.waiting_job_mut(shard_id, id) {
             job.call_failed(now);
         }
     }
@@ -205,8 +208,9 @@
         let Some(shard) = self.shards.get_mut(&shard_id) else { return };
         let Some(job) = shard.waiting_jobs.waiting_job_mut(id) else { return };
         job.call_failed(now);
+        job.final_write_mut().refused();
         let requesters = job.take_cancel_requesters();
-        if !job.is_final_write_in_doubt() {
+        if !job.final_write().is_in_doubt() {
             self.clear_cancellation_doubt(id);
         }
         self.ask_to_retry(requesters);
@@ -215,8 +219,9 @@
     /// Handles a write of the final record that had no conclusive answer and may still be executed.
     fn waiting_final_write_unanswered(&mut self, shard_id: ShardId, id: &JobId) {
         let Some(shard) = self.shards.get_mut(&shard_id) else { return };
+        let leadership = shard.leadership_term();
         if let Some(job) = shard.waiting_jobs.waiting_job_mut(id) {
-            job.mark_final_write_in_doubt();
+            job.final_write_mut().unanswered(id, leadership);
         }
         self.waiting_outcome_unknown(shard_id, id);
     }
@@ -232,6 +237,10 @@
         self.ask_to_retry(requesters);
     }
 
+    fn waiting_job_mut(&mut self, shard_id: ShardId, id: &JobId) -> Option<&mut WaitingJob> {
+        self.shards.get_mut(&shard_id).and_then(|shard| shard.waiting_jobs.waiting_job_mut(id))
+    }
+
     /// Replies "busy" to requesters whose cancellations could not be confirmed, so that they retry.
     fn ask_to_retry(&mut self, requesters: Vec<Requester>) {
         self.reply_to_all(requesters, Reply::busy(BusyReason::StateUnreachable));
@@ -258,7 +267,10 @@
     /// Handles the durable end of a waiting job.
     fn waiting_job_ended(&mut self, shard_id: ShardId, id: &JobId, end: FinalRecord) {
         let Some(shard) = self.shards.get_mut(&shard_id) else { return };
-        let waiting = shard.waiting_jobs.remove_waiting_job(id);
+        let mut waiting = shard.waiting_jobs.remove_waiting_job(id);
+        if let Some(job) = &mut waiting {
+            job.final_write_mut().settled(id, WriteOutcome::Recorded);
+        }
         log::info!("waiting job {id} ended as {:?} before any of its tasks was started", end.state);
         let state = end.state;
         self.directory.forget_job_shard(id);
--- a/src/coordination/job_persistence/end_of_job.rs
+++ b/src/coordination/job_persistence/end_of_job.rs
@@ -3,6 +3,7 @@
 use super::JobRecordOperation;
 use crate::coordination::controller::Controller;
 use crate::coordination::dependencies::final_record_request;
+use crate::coordination::final_write::WriteOutcome;
 use crate::coordination::state_admission::TrafficClass;
 use crate::model::{FinalState, JobId, ShardId};
 use crate::protocol::CallError;
@@ -88,6 +89,7 @@
         let Some(job) = shard.jobs.get_mut(id) else { return };
         job.record.call_in_flight = true;
         job.record.write_refused = false;
+        job.record.final_write.sent(state);
         let end = FinalRecord { state, done: job.progress.done.len(), cause: None };
         let request = final_record_request(leadership, id, job.record.version, &end);
         if state == FinalState::Cancelled {
@@ -106,7 +108,14 @@
         match answer {
             Ok(StateAnswer::Committed(_)) => self.job_ended(shard_id, id, state),
             Err(CallError::Refused { .. }) => self.job_write_refused(shard_id, id),
-            _ => self.job_call_unanswered(shard_id, id, true),
+            _ => {
+                let Some(shard) = self.shards.get_mut(&shard_id) else { return };
+                let leadership = shard.leadership_term();
+                if let Some(job) = shard.jobs.get_mut(id) {
+                    job.record.final_write.unanswered(id, leadership);
+                }
+                self.job_call_unanswered(shard_id, id);
+            }
         }
     }
 
@@ -117,7 +126,8 @@
         shard.record_interruptions(id);
         self.learn_run_times(shard_id);
         let Some(shard) = self.shards.get_mut(&shard_id) else { return };
-        let Some(job) = shard.jobs.remove(id) else { return };
+        let Some(mut job) = shard.jobs.remove(id) else { return };
+        job.record.final_write.settled(id, WriteOutcome::Recorded);
         shard.stop_attempts_of(id);
         log::info!("job {id}: final state {state:?} is recorded; stopping its remaining attempts");
         self.judge_promise(shard_id, id, state);
--- a/src/coordination/job_persistence/mod.rs
+++ b/src/coordination/job_persistence/mod.rs
@@ -129,21 +129,21 @@
     fn job_write_refused(&mut self, shard_id: ShardId, id: &JobId) {
         let Some(job) = self.job_mut(shard_id, id) else { return };
         job.record.write_refused = true;
+        job.record.final_write.refused();
         if job.ending.is_none() {
             return;
         }
         let requesters = std::mem::take(&mut job.cancel_requesters);
-        let final_write_in_doubt = job.record.final_write_in_doubt;
+        let final_write_in_doubt = job.record.final_write.is_in_doubt();
         self.end_cancellation_doubt(id, final_write_in_doubt);
         self.reply_to_all(requesters, Reply::busy(BusyReason::StateUnreachable));
     }
 
     /// Handles a call for a job's record that had no conclusive answer, or whose answer shows that the record is not as
     /// expected: the record has to be read again, and the cancellation requesters of the job get a busy reply.
-    fn job_call_unanswered(&mut self, shard_id: ShardId, id: &JobId, is_final_write: bool) {
+    fn job_call_unanswered(&mut self, shard_id: ShardId, id: &JobId) {
         let Some(job) = self.job_mut(shard_id, id) else { return };
         job.record.outcome_unknown = true;
-        job.record.final_write_in_doubt |= is_final_write;
         let requesters = std::mem::take(&mut job.cancel_requesters);
         self.reply_to_all(requesters, Reply::busy(BusyReason::StateUnreachable));
     }
--- a/src/coordination/job_persistence/progress.rs
+++ b/src/coordination/job_persistence/progress.rs
@@ -98,7 +98,7 @@
             Ok(StateAnswer::Committed(version)) => self.progress_recorded(shard_id, id, progress, version),
             Err(CallError::Unexpected(STATUS_TOO_LARGE)) => self.record_too_large(shard_id, id),
             Err(CallError::Refused { .. }) => return self.job_write_refused(shard_id, id),
-            _ => return self.job_call_unanswered(shard_id, id, false),
+            _ => return self.job_call_unanswered(shard_id, id),
         }
         self.write_final_record(shard_id, id);
     }
@@ -106,7 +106,7 @@
     fn progress_recorded(&mut self, shard_id: ShardId, id: &JobId, progress: RecordedProgress, version: Revision) {
         let Some(shard) = self.shards.get_mut(&shard_id) else { return };
         let Some(job) = shard.jobs.get_mut(id) else { return };
-        if job.record.progress_written(progress, version) {
+        if job.record.progress_written(id, progress, version) {
             shard.queue.invalidate();
         }
     }
--- a/src/coordination/job_persistence/unknown_outcome.rs
+++ b/src/coordination/job_persistence/unknown_outcome.rs
@@ -36,7 +36,7 @@
         match answer {
             Ok(StateAnswer::Found(entry)) => self.live_record_read(shard_id, id, entry),
             Ok(StateAnswer::Missing) => return self.read_final_record(leadership, id),
-            _ => return self.job_call_unanswered(shard_id, id, false),
+            _ => return self.job_call_unanswered(shard_id, id),
         }
         self.write_final_record(shard_id, id);
     }
@@ -52,7 +52,7 @@
         };
         let Some(job) = self.job_mut(shard_id, id) else { return };
         job.record.read_again(&record, entry.version, job.spec.tasks);
-        let final_write_in_doubt = job.record.final_write_in_doubt;
+        let final_write_in_doubt = job.record.final_write.is_in_doubt();
         self.end_cancellation_doubt(id, final_write_in_doubt);
     }
 
@@ -67,7 +67,7 @@
 
     pub(super) fn final_read_answered(&mut self, shard_id: ShardId, id: &JobId, answer: StateResult) {
         let Ok(StateAnswer::Found(entry)) = answer else {
-            return self.job_call_unanswered(shard_id, id, false);
+            return self.job_call_unanswered(shard_id, id);
         };
         match serde_json::from_value::<FinalRecord>(entry.value) {
             Ok(end) => self.job_ended(shard_id, id, end.state),
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -11,6 +11,7 @@
 mod dependencies;
 mod directory;
 mod events;
+mod final_write;
 mod forecasts;
 mod forwarding;
 mod job_persistence;
--- a/src/coordination/request_statistics.rs
+++ b/src/coordination/request_statistics.rs
@@ -1,6 +1,7 @@
 //! Statistics for the log: counts of replies, latency of the state service, and the longest interval between ticks.
 
 use super::controller::Controller;
+use super::dependencies::DependentReplyKind;
 use super::placement::PreemptionRound;
 use crate::protocol::{BusyReason, Reply};
 use crate::time::{Span, Time};
@@ -21,6 +22,8 @@
     replies: BTreeMap<u16, u64>,
     /// Number of replies that ask the client to retry, by reason.
     busy_replies: BTreeMap<BusyReason, u64>,
+    /// Number of replies about jobs with prerequisites, by reported state and the knowledge it was derived from.
+    dependent_replies: BTreeMap<DependentReplyKind, u64>,
     /// Times from sending a call to the state service to its answer or failure, in milliseconds.
     state_latencies: Histogram<u32>,
     /// Longest interval between two ticks.
@@ -41,6 +44,7 @@
         RequestStatistics {
             replies: BTreeMap::new(),
             busy_replies: BTreeMap::new(),
+            dependent_replies: BTreeMap::new(),
             state_latencies,
             longest_tick_interval: Span::ZERO,
             preemption_inspections: 0,
@@ -57,6 +61,11 @@
         }
     }
 
+    /// Counts a reply about a job with prerequisites.
+    pub fn record_dependent_reply(&mut self, kind: DependentReplyKind) {
+        *self.dependent_replies.entry(kind).or_default() += 1;
+    }
+
     /// Records the latency of a call to the state service.
     pub fn record_state_latency(&mut self, latency: Span) {
         self.state_latencies.saturating_record(latency.as_millis());
@@ -80,11 +89,13 @@
         }
         if !self.replies.is_empty() {
             log::info!(
-                "replies in the last minute, by status: {}; replies to be retried, by reason: {}; latency of the state \
-                 service: median {} ms, p99 {} ms, maximum {} ms of {} calls; longest interval between ticks: {} ms; machines and attempts inspected in search \
-                 of room for waiting tasks: {}; rounds of preemption ended at their limit: {}",
+                "replies in the last minute, by status: {}; replies to be retried, by reason: {}; replies about jobs \
+                 with prerequisites: {}; latency of the state service: median {} ms, p99 {} ms, maximum {} ms of {} \
+                 calls; longest interval between ticks: {} ms; machines and attempts inspected in search of room for \
+                 waiting tasks: {}; rounds of preemption ended at their limit: {}",
                 format_counts(&self.replies),
                 format_counts(&self.busy_replies),
+                format_counts(&self.dependent_replies),
                 self.state_latencies.value_at_quantile(0.5),
                 self.state_latencies.value_at_quantile(0.99),
                 self.state_latencies.max(),
--- a/src/coordination/shard/job_record.rs
+++ b/src/coordination/shard/job_record.rs
@@ -1,6 +1,7 @@
 //! State of a queued or running job's record in the state service, as far as the leader knows it.
 
-use crate::model::Revision;
+use super::super::final_write::{FinalWrite, WriteOutcome};
+use crate::model::{JobId, Revision};
 use crate::storage::range_set::RangeSet;
 use crate::storage::records::LiveRecord;
 use crate::time::{Span, Time};
@@ -23,10 +24,8 @@
     /// `true` while the outcome of a call is in doubt, or the record is not as expected, so that it has to be read
     /// again.
     pub outcome_unknown: bool,
-    /// `true` while a write of the final record is in doubt because it had no conclusive answer. Even if the live
-    /// record was found when it was read again, the write may still be executed until that record has a new version,
-    /// and other controllers may then report the end of the job to users.
-    pub final_write_in_doubt: bool,
+    /// Write of the final record whose outcome is not known.
+    pub final_write: FinalWrite,
     /// `true` if a write was refused, and thus not executed, since the final record was last sent.
     pub write_refused: bool,
     /// Size of the record relative to the limit of the state service.
@@ -81,7 +80,7 @@
             fails_everywhere: record.fails_everywhere,
             call_in_flight: false,
             outcome_unknown: false,
-            final_write_in_doubt: false,
+            final_write: FinalWrite::default(),
             write_refused: false,
             size: RecordSize::Fits,
             last_call_at: Time::ZERO,
@@ -105,9 +104,9 @@
 
     /// Records that a write of progress was executed. Returns `true` if the start watermark rose, so that more tasks
     /// may be started.
-    pub fn progress_written(&mut self, progress: RecordedProgress, version: Revision) -> bool {
+    pub fn progress_written(&mut self, job: &JobId, progress: RecordedProgress, version: Revision) -> bool {
         self.version = version;
-        self.final_write_in_doubt = false;
+        self.final_write.settled(job, WriteOutcome::Superseded(version));
         self.recorded_tasks = progress.done;
         self.recorded_count = progress.done_count;
         self.fails_everywhere = progress.fails_everywhere;
@@ -122,7 +121,9 @@
     /// doubt can still be executed only if the version of the record has not changed, since the version is a condition
     /// of the write.
     pub fn read_again(&mut self, record: &LiveRecord, version: Revision, tasks: u32) {
-        self.final_write_in_doubt &= version == self.version;
+        if version != self.version {
+            self.final_write.settled(&record.job.id, WriteOutcome::Superseded(version));
+        }
         self.version = version;
         self.recorded_tasks = RangeSet::parse(&record.done, tasks).unwrap_or_default();
         self.recorded_count = self.recorded_tasks.len();
--- a/src/coordination/user_requests/acceptance.rs
+++ b/src/coordination/user_requests/acceptance.rs
@@ -133,6 +133,14 @@
             && !has_ended
             && !shard.contains_job(new_job.id())
         {
+            if new_job.record.is_waiting() {
+                log::info!(
+                    "waiting job {} accepted by the leader of shard {} in term {}",
+                    new_job.id(),
+                    shard.id,
+                    shard.term
+                );
+            }
             shard.add_unstarted_job(new_job.record, version, now);
         }
     }
--- a/src/coordination/user_requests/mod.rs
+++ b/src/coordination/user_requests/mod.rs
@@ -29,7 +29,7 @@
 
 pub(super) use new_job::{NewJob, Submission};
 pub(super) use operations::{LookupPurpose, UserOperation};
-pub(super) use views::{final_reply, live_state, state_reply};
+pub(super) use views::{final_view, live_state};
 
 use super::controller::Controller;
 use super::events::Requester;
--- a/src/coordination/user_requests/views.rs
+++ b/src/coordination/user_requests/views.rs
@@ -7,17 +7,22 @@
 use crate::storage::records::FinalRecord;
 
 /// Returns the reply that reports a job's state, with its numbers of completed and running tasks.
-pub(in crate::coordination) fn state_reply(id: &JobId, state: JobState, done: u32, running: u32) -> Reply {
+pub(super) fn state_reply(id: &JobId, state: JobState, done: u32, running: u32) -> Reply {
     Reply::json(200, &JobView::new(id, state, done, running))
 }
 
-/// Returns the reply that reports the end of a job according to its final record.
-pub(in crate::coordination) fn final_reply(id: &JobId, end: &FinalRecord) -> Reply {
+/// Returns the view of a job that has ended according to its final record.
+pub(in crate::coordination) fn final_view(id: &JobId, end: &FinalRecord) -> JobView {
     let state = match end.state {
         FinalState::Done => JobState::Done,
         FinalState::Cancelled => JobState::Cancelled,
     };
-    Reply::json(200, &JobView { withdrawn_with: end.cause.clone(), ..JobView::new(id, state, end.done, 0) })
+    JobView { withdrawn_with: end.cause.clone(), ..JobView::new(id, state, end.done, 0) }
+}
+
+/// Returns the reply that reports the end of a job according to its final record.
+pub(super) fn final_reply(id: &JobId, end: &FinalRecord) -> Reply {
+    Reply::json(200, &final_view(id, end))
 }
 
 /// Returns the state of a live job that may be reported to users, or `None` if they have to retry.
@@ -26,7 +31,7 @@
     // and reported the end. A job whose tasks are all done but whose final record is not being written yet is reported
     // as running.
     let final_record_may_exist = job.record.outcome_unknown
-        || job.record.final_write_in_doubt
+        || job.record.final_write.is_in_doubt()
         || job.ending.is_some() && job.record.call_in_flight;
     if final_record_may_exist || job.ending == Some(FinalState::Cancelled) {
         return None;
--- a/src/coordination/waiting_jobs/mod.rs
+++ b/src/coordination/waiting_jobs/mod.rs
@@ -17,7 +17,7 @@
 pub(in crate::coordination) use record_steps::{RecordStep, WaitingStatus, WriteUrgency};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
-use waiting_job::WaitingJob;
+pub(in crate::coordination) use waiting_job::WaitingJob;
 
 /// The jobs of one shard that wait for prerequisites, with their dependency graph.
 pub(in crate::coordination) struct WaitingJobs {
--- a/src/coordination/waiting_jobs/waiting_job.rs
+++ b/src/coordination/waiting_jobs/waiting_job.rs
@@ -1,6 +1,7 @@
 //! One job that waits for prerequisites, and the state of its record in the state service.
 
 use super::super::events::Requester;
+use super::super::final_write::{FinalWrite, WriteOutcome};
 use super::super::job_record_reads::VersionedRecord;
 use crate::model::{JobSpec, Revision, ShardId};
 use crate::storage::keys;
@@ -27,9 +28,8 @@
     call_in_flight: bool,
     /// `true` if a write had no answer, so that the record has to be read again.
     outcome_unknown: bool,
-    /// `true` if a write of the final record had no answer and may still be executed. Other controllers may then read
-    /// the final record and report the end, as for a job that does not wait.
-    final_write_in_doubt: bool,
+    /// Write of the final record whose outcome is not known.
+    final_write: FinalWrite,
     /// Time of the last failed read or write. `None` if the latest call has not failed.
     failed_at: Option<Time>,
 }
@@ -49,7 +49,7 @@
             cancel_requesters: Vec::new(),
             call_in_flight: false,
             outcome_unknown: false,
-            final_write_in_doubt: false,
+            final_write: FinalWrite::default(),
             failed_at: None,
         }
     }
@@ -145,20 +145,22 @@
         self.failed_at = Some(now);
     }
 
-    /// Records that a write of the final record had no answer and may still be executed.
-    pub fn mark_final_write_in_doubt(&mut self) {
-        self.final_write_in_doubt = true;
+    /// Returns the write of the final record.
+    pub fn final_write(&self) -> &FinalWrite {
+        &self.final_write
     }
 
-    /// Returns `true` if a write of the final record may still be executed.
-    pub fn is_final_write_in_doubt(&self) -> bool {
-        self.final_write_in_doubt
+    /// Returns the write of the final record for modification.
+    pub fn final_write_mut(&mut self) -> &mut FinalWrite {
+        &mut self.final_write
     }
 
     /// Records that the live record was read and still shows a waiting job. A final write that was in doubt can be
     /// executed only while the record still has the version that the write was conditional on.
     pub fn live_record_read(&mut self, version: Revision) {
-        self.final_write_in_doubt &= version == self.version;
+        if version != self.version {
+            self.final_write.settled(&self.spec.id, WriteOutcome::Superseded(version));
+        }
         self.version = version;
         self.outcome_unknown = false;
     }
