Derive the doubt about a cancellation from the record of the cancelled job

Cause: while the leader does not know whether a cancellation is recorded, it must not report the jobs that depend on the cancelled one as live. It kept a set of such cancellations, to which a cancellation was added when it was sent, and only if the leader knew a dependent at that moment. A dependent that was accepted or adopted later was reported from memory as pending, while controllers that read the records reported it as withdrawn.

Fix: there is no set any more. Whether a cancellation may be recorded is asked of the write of the job's final record (FinalWrite), for the job and each of its direct and indirect prerequisites, whenever a state is reported. The same write already decides whether the cancelled job itself is reported, so the two can't differ. Two other ways in which the set differed from the writes are gone with it: it kept an entry when a release that had been in doubt turned out to be recorded, and entries in other shards were not removed with the shard.

--- a/crates/dependencies/src/graph.rs
+++ b/crates/dependencies/src/graph.rs
@@ -143,21 +143,23 @@
         prerequisites.map(|prerequisite| &self.graph[prerequisite].job)
     }
 
-    /// Returns `true` if other jobs depend on a job.
-    pub fn has_dependents(&self, job: &JobId) -> bool {
-        self.index_of(job).is_some_and(|index| self.has_dependents_at(index))
+    /// Returns the cancelled direct or indirect prerequisite because of which a job is withdrawn, or `None` if the job
+    /// is not withdrawn.
+    pub fn withdrawn_with(&self, job: &JobId) -> Option<&JobId> {
+        match &self.graph[self.index_of(job)?].status {
+            JobStatus::Withdrawn(cause) => Some(cause),
+            _ => None,
+        }
     }
 
-    /// Returns the status of a waiting job that may be reported to users. `in_doubt` contains the jobs whose
-    /// cancellations are being written and may already have been read by other nodes.
-    pub fn dependency_status(&self, job: &JobId, in_doubt: &HashSet<JobId>) -> DependencyStatus {
+    /// Returns the status of a waiting job that may be reported to users. `may_be_cancelled` returns `true` for a job
+    /// whose cancellation other nodes may already have read. It is called for the job and its direct and indirect
+    /// prerequisites.
+    pub fn dependency_status(&self, job: &JobId, may_be_cancelled: impl Fn(&JobId) -> bool) -> DependencyStatus {
         let Some(index) = self.index_of(job) else { return DependencyStatus::Unknown };
-        if let JobStatus::Withdrawn(cause) = &self.graph[index].status {
+        if let Some(cause) = self.withdrawn_with(job) {
             return DependencyStatus::Withdrawn(cause.clone());
         }
-        if self.unknown_jobs.is_empty() && in_doubt.is_empty() {
-            return DependencyStatus::Waiting;
-        }
         let mut status = DependencyStatus::Waiting;
         let reversed = Reversed(&self.graph);
         let mut traversal = Dfs::new(reversed, index);
@@ -166,7 +168,7 @@
             if node.status == JobStatus::Unknown {
                 return DependencyStatus::Unknown;
             }
-            if in_doubt.contains(&node.job) {
+            if may_be_cancelled(&node.job) {
                 status = DependencyStatus::InDoubt;
             }
         }
--- a/crates/dependencies/tests/dependency_graph.rs
+++ b/crates/dependencies/tests/dependency_graph.rs
@@ -205,7 +205,7 @@
     fn check_waiting(&self, number: usize, step: usize, checked: &mut Checked) {
         let (seed, job) = (self.seed, id(number));
         let is_withdrawn = self.model.is_withdrawn(number);
-        let status = self.graph.dependency_status(&job, &HashSet::new());
+        let status = self.graph.dependency_status(&job, |_| false);
         let is_expected = match (&status, is_withdrawn, self.model.depends_on_unknown(number)) {
             (DependencyStatus::Withdrawn(_), true, _) => true,
             // A cancelled prerequisite may be hidden behind a job with an unknown status.
@@ -253,9 +253,9 @@
     graph.add_waiting(&id(3), &[id(2)], Urgency::default());
     graph.add_waiting(&id(5), &[id(4)], Urgency::default());
     (1..5).step_by(3).for_each(|number| graph.mark_runnable(&id(number), Urgency::default()));
-    let in_doubt = HashSet::from([id(1)]);
-    assert_eq!(graph.dependency_status(&id(3), &in_doubt), DependencyStatus::InDoubt);
-    assert_eq!(graph.dependency_status(&id(5), &in_doubt), DependencyStatus::Waiting);
+    let may_be_cancelled = |job: &JobId| *job == id(1);
+    assert_eq!(graph.dependency_status(&id(3), may_be_cancelled), DependencyStatus::InDoubt);
+    assert_eq!(graph.dependency_status(&id(5), may_be_cancelled), DependencyStatus::Waiting);
 }
 
 const LONG_DUE: Urgency =
--- a/src/coordination/dependencies/requests.rs
+++ b/src/coordination/dependencies/requests.rs
@@ -15,7 +15,7 @@
         let Some(shard) = self.shards.get(&shard_id) else {
             return self.reply(requester, Reply::busy(BusyReason::NotLeader));
         };
-        let view = match shard.waiting_jobs.status(&id) {
+        let view = match shard.waiting_status(&id) {
             WaitingStatus::Loading => return self.reply(requester, Reply::busy(BusyReason::LoadingPrerequisites)),
             WaitingStatus::WriteInProgress => return self.reply(requester, Reply::busy(BusyReason::FinalWritePending)),
             WaitingStatus::PrerequisiteInDoubt => {
--- a/src/coordination/dependencies/waiting_records.rs
+++ b/src/coordination/dependencies/waiting_records.rs
@@ -76,9 +76,6 @@
         }
         let end = cancelled_before_start(cause);
         let request = final_record_request(shard.leadership_term(), id, job.version(), &end);
-        if end.cause.is_none() {
-            self.mark_cancellation_in_doubt(id);
-        }
         if let Some(job) = self.waiting_job_mut(shard_id, id) {
             job.final_write_mut().sent(end.state);
         }
@@ -113,18 +110,6 @@
         self.call_state(request, DependencyOperation::WaitingJob { leadership, job: id.clone(), operation });
     }
 
-    /// Marks the cancellation of a job as in doubt in all shards of this node, since other controllers may read it from
-    /// now on.
-    pub(in crate::coordination) fn mark_cancellation_in_doubt(&mut self, id: &JobId) {
-        self.shards.values_mut().for_each(|shard| shard.waiting_jobs.mark_in_doubt(id));
-    }
-
-    /// Ends the doubt about a job's cancellation in all shards of this node, once no write of it can be executed any
-    /// more.
-    pub(in crate::coordination) fn clear_cancellation_doubt(&mut self, id: &JobId) {
-        self.shards.values_mut().for_each(|shard| shard.waiting_jobs.clear_doubt(id));
-    }
-
     /// Handles the answer to a read or write of a waiting job's record.
     pub(super) fn waiting_record_answered(
         &mut self,
@@ -186,11 +171,8 @@
 
     /// Handles a live record that was read after a write without an answer and still shows a waiting job.
     fn job_still_waits(&mut self, shard_id: ShardId, id: &JobId, version: Revision) {
-        let Some(shard) = self.shards.get_mut(&shard_id) else { return };
-        let Some(job) = shard.waiting_jobs.waiting_job_mut(id) else { return };
-        job.live_record_read(version);
-        if !job.final_write().is_in_doubt() {
-            self.clear_cancellation_doubt(id);
+        if let Some(job) = self.waiting_job_mut(shard_id, id) {
+            job.live_record_read(version);
         }
     }
 
@@ -205,14 +187,10 @@
     /// Handles a write that was refused and therefore not executed.
     fn waiting_write_refused(&mut self, shard_id: ShardId, id: &JobId) {
         let now = self.now;
-        let Some(shard) = self.shards.get_mut(&shard_id) else { return };
-        let Some(job) = shard.waiting_jobs.waiting_job_mut(id) else { return };
+        let Some(job) = self.waiting_job_mut(shard_id, id) else { return };
         job.call_failed(now);
         job.final_write_mut().refused();
         let requesters = job.take_cancel_requesters();
-        if !job.final_write().is_in_doubt() {
-            self.clear_cancellation_doubt(id);
-        }
         self.ask_to_retry(requesters);
     }
 
--- a/src/coordination/final_write.rs
+++ b/src/coordination/final_write.rs
@@ -72,6 +72,11 @@
         }
     }
 
+    /// Returns `true` if the final record may be stored with the given state, or may be stored at any time.
+    pub fn may_record(&self, state: FinalState) -> bool {
+        self.pending.as_ref().is_some_and(|write| write.state == state)
+    }
+
     /// Returns `true` if a write had no answer and may still be executed.
     pub fn is_in_doubt(&self) -> bool {
         self.pending.as_ref().is_some_and(|write| write.is_in_doubt)
--- a/src/coordination/job_persistence/end_of_job.rs
+++ b/src/coordination/job_persistence/end_of_job.rs
@@ -92,9 +92,6 @@
         job.record.final_write.sent(state);
         let end = FinalRecord { state, done: job.progress.done.len(), cause: None };
         let request = final_record_request(leadership, id, job.record.version, &end);
-        if state == FinalState::Cancelled {
-            self.mark_cancellation_in_doubt(id);
-        }
         self.call_for_job(leadership, id, request, JobRecordOperation::WriteFinal(state));
     }
 
--- a/src/coordination/job_persistence/mod.rs
+++ b/src/coordination/job_persistence/mod.rs
@@ -134,8 +134,6 @@
             return;
         }
         let requesters = std::mem::take(&mut job.cancel_requesters);
-        let final_write_in_doubt = job.record.final_write.is_in_doubt();
-        self.end_cancellation_doubt(id, final_write_in_doubt);
         self.reply_to_all(requesters, Reply::busy(BusyReason::StateUnreachable));
     }
 
@@ -148,13 +146,6 @@
         self.reply_to_all(requesters, Reply::busy(BusyReason::StateUnreachable));
     }
 
-    /// Records that no recorded cancellation of the job exists, unless a final write may still be executed.
-    fn end_cancellation_doubt(&mut self, id: &JobId, final_write_in_doubt: bool) {
-        if !final_write_in_doubt {
-            self.clear_cancellation_doubt(id);
-        }
-    }
-
     fn job_mut(&mut self, shard_id: ShardId, id: &JobId) -> Option<&mut Job> {
         self.shards.get_mut(&shard_id).and_then(|shard| shard.jobs.get_mut(id))
     }
--- a/src/coordination/job_persistence/unknown_outcome.rs
+++ b/src/coordination/job_persistence/unknown_outcome.rs
@@ -50,10 +50,9 @@
                 );
             }
         };
-        let Some(job) = self.job_mut(shard_id, id) else { return };
-        job.record.read_again(&record, entry.version, job.spec.tasks);
-        let final_write_in_doubt = job.record.final_write.is_in_doubt();
-        self.end_cancellation_doubt(id, final_write_in_doubt);
+        if let Some(job) = self.job_mut(shard_id, id) {
+            job.record.read_again(&record, entry.version, job.spec.tasks);
+        }
     }
 
     fn read_final_record(&mut self, leadership: LeadershipTerm, id: &JobId) {
--- a/src/coordination/shard/waiting_jobs.rs
+++ b/src/coordination/shard/waiting_jobs.rs
@@ -1,7 +1,8 @@
 //! Jobs of a shard that wait for prerequisites, and the urgency that their prerequisites inherit.
 
 use super::Shard;
-use crate::model::{JobId, Revision};
+use crate::coordination::waiting_jobs::{WaitingJob, WaitingStatus};
+use crate::model::{FinalState, JobId, Revision};
 use crate::storage::records::LiveRecord;
 use crate::time::Time;
 
@@ -29,6 +30,19 @@
         }
     }
 
+    /// Returns the status of a waiting job that may be reported to users.
+    pub(in crate::coordination) fn waiting_status(&self, id: &JobId) -> WaitingStatus {
+        self.waiting_jobs.status(id, |job| self.may_be_recorded_as_cancelled(job))
+    }
+
+    /// Returns `true` if the cancellation of a job in memory may be recorded without this leader knowing, so that other
+    /// controllers report the job, and all that depend on it, as withdrawn.
+    fn may_be_recorded_as_cancelled(&self, id: &JobId) -> bool {
+        let of_job = self.jobs.get(id).map(|job| &job.record.final_write);
+        let final_write = of_job.or_else(|| self.waiting_jobs.waiting_job(id).map(WaitingJob::final_write));
+        final_write.is_some_and(|write| write.may_record(FinalState::Cancelled))
+    }
+
     /// Returns `true` if a cancellation may be recorded: no deposed leader can still renew worker leases. Otherwise
     /// tasks of the job could keep running after its user was told that it is cancelled.
     pub fn may_record_cancellations(&self, now: Time) -> bool {
--- a/src/coordination/waiting_jobs/mod.rs
+++ b/src/coordination/waiting_jobs/mod.rs
@@ -31,9 +31,6 @@
     obsolete_parts: Vec<String>,
     /// Waiting jobs whose records have to be written or read.
     due_records: BTreeSet<JobId>,
-    /// Jobs with dependents in this shard whose cancellation is being written, so that other controllers may already
-    /// have read it.
-    cancellations_in_doubt: HashSet<JobId>,
     /// Factor by which the deadline of a class may be exceeded while the job's result is still of use.
     late_factors: Arc<BTreeMap<Name, f64>>,
     /// Scan for the final records of prerequisites that are not in memory.
@@ -50,7 +47,6 @@
             partially_loaded: PartiallyLoadedJobs::default(),
             obsolete_parts: Vec::new(),
             due_records: BTreeSet::new(),
-            cancellations_in_doubt: HashSet::new(),
             late_factors,
             scan: FinalRecordScan::new(),
         }
@@ -159,7 +155,6 @@
     /// Applies the durable end of a job to its dependents: marks the records of those that become ready or are
     /// withdrawn as due.
     pub(in crate::coordination) fn record_end(&mut self, job: &JobId, state: FinalState) {
-        self.cancellations_in_doubt.remove(job);
         let affected = self.graph.record_end(job, state);
         for dependent in &affected {
             match state {
@@ -173,32 +168,21 @@
         self.due_records.extend(affected.into_iter().filter(|dependent| self.jobs.contains_key(dependent)));
     }
 
-    /// Marks the cancellation of a job as being written, if jobs of this shard depend on the job. Other controllers may
-    /// read the cancellation from now on.
-    pub(in crate::coordination) fn mark_in_doubt(&mut self, job: &JobId) {
-        if self.graph.has_dependents(job) {
-            self.cancellations_in_doubt.insert(job.clone());
-        }
-    }
-
-    /// Ends the doubt about a job's cancellation, once no write of it can be executed any more.
-    pub(in crate::coordination) fn clear_doubt(&mut self, job: &JobId) {
-        self.cancellations_in_doubt.remove(job);
-    }
-
     /// Returns the cancelled direct or indirect prerequisite because of which a job is withdrawn, or `None` if the job
     /// is not withdrawn.
     pub(in crate::coordination) fn withdrawn_with(&self, job: &JobId) -> Option<JobId> {
-        match self.graph.dependency_status(job, &self.cancellations_in_doubt) {
-            DependencyStatus::Withdrawn(cause) => Some(cause),
-            _ => None,
-        }
+        self.graph.withdrawn_with(job).cloned()
     }
 
-    /// Returns the status of a waiting job that may be reported to users.
-    pub(in crate::coordination) fn status(&self, id: &JobId) -> WaitingStatus {
+    /// Returns the status of a waiting job that may be reported to users. `may_be_cancelled` returns `true` for a job
+    /// whose cancellation other controllers may already have read.
+    pub(in crate::coordination) fn status(
+        &self,
+        id: &JobId,
+        may_be_cancelled: impl Fn(&JobId) -> bool,
+    ) -> WaitingStatus {
         let Some(job) = self.jobs.get(id) else { return WaitingStatus::Loading };
-        match self.graph.dependency_status(id, &self.cancellations_in_doubt) {
+        match self.graph.dependency_status(id, may_be_cancelled) {
             DependencyStatus::Withdrawn(cause) => WaitingStatus::Withdrawn(cause),
             _ if job.is_outcome_awaited() => WaitingStatus::WriteInProgress,
             DependencyStatus::InDoubt => WaitingStatus::PrerequisiteInDoubt,
--- /dev/null
+++ b/tests/fault_combinations/cancellations_in_doubt.rs
@@ -0,0 +1,84 @@
+//! Tests of jobs that depend on a job whose cancellation may be recorded without the leader knowing.
+
+use crate::simulation::users::spec;
+use crate::simulation::{MS, SEC, Simulation, TemporaryFault};
+use crowstall::model::*;
+use crowstall::protocol::Reply;
+use crowstall::protocol::users::ClientRequest;
+use std::collections::BTreeSet;
+
+/// Number of jobs that are cancelled. Each has one dependent.
+const CANCELLED_JOBS: u32 = 40;
+
+/// Time at which no cancellation has been sent yet.
+const BEFORE_CANCELLATIONS: u64 = 22 * SEC;
+
+/// Time at which all cancellations were sent and none was answered.
+const WHILE_IN_DOUBT: u64 = 29 * SEC;
+
+/// Adds job arrays that are cancelled from 26 s on, and for each an array that depends on it and is submitted at
+/// `dependents_submitted_at`. Returns the indices of the users of the dependents.
+fn add_cancelled_jobs_with_dependents(simulation: &mut Simulation, dependents_submitted_at: u64) -> Vec<usize> {
+    let mut dependents = Vec::new();
+    for number in 0..u64::from(CANCELLED_JOBS) {
+        let id = 100 + number as u32;
+        let submit_at = 20 * SEC + number * 20 * MS;
+        let root = spec(id, JobKind::Array, "free", 1, 1.0);
+        let root = simulation.add_dependent_job(root, &[], 400 * SEC, submit_at, Some(6 * SEC));
+        let submit_at = dependents_submitted_at + number * 20 * MS;
+        let dependent = spec(id + 100, JobKind::Array, "free", 1, 1.0);
+        dependents.push(simulation.add_dependent_job(dependent, &[root], SEC, submit_at, None));
+    }
+    dependents
+}
+
+/// Runs a simulation in which cancellations are recorded seconds late and without an answer to the leader, and further
+/// attempts to record them are refused. Checks that the leader reports no dependent as live once the cancellation of its
+/// prerequisite is recorded. Returns the number of dependents for which that was checked.
+fn check_answers_about_dependents(seed: u64, dependents_submitted_at: u64) -> usize {
+    let mut simulation = Simulation::with_one_shard(seed, [12, 12]);
+    simulation.cloud.reliable = true;
+    simulation.add_services();
+    let dependents = add_cancelled_jobs_with_dependents(&mut simulation, dependents_submitted_at);
+    simulation.run_until(25 * SEC);
+    simulation.state_service.delayed_commits = Some(TemporaryFault::new(WHILE_IN_DOUBT, 1.0));
+    simulation.run_until(WHILE_IN_DOUBT);
+    let (node, until) = (simulation.current_leader(), simulation.now + 12 * SEC);
+    simulation.state_service.refused_prefix = Some(TemporaryFault::new(until, "end/"));
+    let mut stale = 0;
+    let mut withdrawn = BTreeSet::new();
+    while simulation.now < until && simulation.leader(0) == Some(node) {
+        simulation.run_for(20 * MS);
+        for user in &dependents {
+            let dependent = simulation.users[*user].spec.clone();
+            if simulation.has_live_record(&dependent.id) && simulation.has_final_record(&dependent.prerequisites[0]) {
+                let reply = simulation.immediate_reply(node, ClientRequest::Poll(dependent.id));
+                stale += usize::from(reports_live_job(&reply));
+                withdrawn.insert(*user);
+            }
+        }
+    }
+    assert_eq!(stale, 0, "seed {seed}: stale answers of the leader about {} dependents", withdrawn.len());
+    simulation.run_until(110 * SEC);
+    simulation.assert_no_violations();
+    withdrawn.len()
+}
+
+/// Returns `true` if a reply reports a job as queued, waiting or running.
+fn reports_live_job(reply: &Option<Reply>) -> bool {
+    reply.as_ref().is_some_and(|reply| reply.status == 200 && !reply.body.contains("\"mood\":\"withdrawn\""))
+}
+
+/// Guards against the answer "pending" after another controller has reported the dependent as withdrawn.
+#[test]
+fn leader_reports_no_dependent_as_live_that_was_accepted_while_a_cancellation_was_in_doubt() {
+    let withdrawn: usize = (0..6).map(|seed| check_answers_about_dependents(seed, WHILE_IN_DOUBT)).sum();
+    assert!(withdrawn >= 60, "only {withdrawn} dependents were withdrawn while the leader was in doubt");
+}
+
+/// Guards against the same answer about dependents that the leader knew when it sent the cancellation.
+#[test]
+fn leader_reports_no_dependent_as_live_that_was_accepted_before_a_cancellation_in_doubt() {
+    let withdrawn: usize = (0..6).map(|seed| check_answers_about_dependents(seed, BEFORE_CANCELLATIONS)).sum();
+    assert!(withdrawn >= 60, "only {withdrawn} dependents were withdrawn while the leader was in doubt");
+}
--- a/tests/fault_combinations/main.rs
+++ b/tests/fault_combinations/main.rs
@@ -2,6 +2,7 @@
 //!
 //! Each combination is injected alone and together with another one.
 
+mod cancellations_in_doubt;
 mod combinations;
 mod controller_failures;
 mod disabled_safeguards;
