Draw dependents that are submitted around cancellations in the fault combinations

The new combination cancels jobs while answers of the state service are lost or transactions late, submits dependents at all controllers just before, at and after each cancellation, isolates or cuts off the leader in half of the runs, and polls all controllers for 10 s.

--- a/tests/fault_combinations/cancellations_in_doubt.rs
+++ b/tests/fault_combinations/cancellations_in_doubt.rs
@@ -1,7 +1,9 @@
 //! Tests of jobs that depend on a job whose cancellation may be recorded without the leader knowing.
 
+use crate::combinations::fault_combination;
+use crate::runner::run_with;
 use crate::simulation::users::spec;
-use crate::simulation::{MS, SEC, Simulation, TemporaryFault};
+use crate::simulation::{DisabledSafeguard, MS, SEC, Simulation, TemporaryFault};
 use crowstall::model::*;
 use crowstall::protocol::Reply;
 use crowstall::protocol::users::ClientRequest;
@@ -82,3 +84,17 @@
     let withdrawn: usize = (0..6).map(|seed| check_answers_about_dependents(seed, BEFORE_CANCELLATIONS)).sum();
     assert!(withdrawn >= 60, "only {withdrawn} dependents were withdrawn while the leader was in doubt");
 }
+
+/// Guards against controllers that contradict one another about jobs submitted around the cancellation of others.
+#[test]
+fn no_controller_reports_a_dependent_as_live_that_another_has_reported_as_withdrawn() {
+    let combination = fault_combination("dependents submitted around cancellations that the leader is not sure of");
+    let mut withdrawn = 0;
+    for seed in 0..20 {
+        let simulation = run_with(seed, DisabledSafeguard::None, &[combination]);
+        simulation.assert_no_violations();
+        let users = simulation.users.iter();
+        withdrawn += users.filter(|user| user.cancelled_at.is_some() && !user.prerequisites.is_empty()).count();
+    }
+    assert!(withdrawn > 1000, "only {withdrawn} dependents were reported as withdrawn");
+}
--- a/tests/fault_combinations/main.rs
+++ b/tests/fault_combinations/main.rs
@@ -8,6 +8,7 @@
 mod disabled_safeguards;
 mod machine_failures;
 mod network_failures;
+mod pipelines;
 mod runner;
 #[path = "../simulation/mod.rs"]
 mod simulation;
--- a/tests/simulation/events.rs
+++ b/tests/simulation/events.rs
@@ -34,6 +34,8 @@
     /// A user chooses and sends the next request.
     UserStep { user: usize },
     /// A user sends a request to a particular controller.
+    UserRequest { user: usize, node: usize, request: users::UserRequest },
+    /// A user sends a request to a particular controller, to check that no controller reports an older state.
     ConsistencyCheck { user: usize, node: usize, request: users::UserRequest },
     /// A submission that has to be rejected is sent.
     MalformedRequest { node: usize },
@@ -151,6 +153,7 @@
                 self.schedule(self.now + WORKERS_STEP, ScheduledEvent::WorkersStep);
             }
             ScheduledEvent::UserStep { user } => self.step_user(user),
+            ScheduledEvent::UserRequest { user, node, request } => self.send_request_to(user, node, request),
             ScheduledEvent::ConsistencyCheck { user, node, request } => {
                 self.send_consistency_check(user, node, request);
             }
--- a/tests/simulation/user_requests.rs
+++ b/tests/simulation/user_requests.rs
@@ -210,10 +210,17 @@
         }
     }
 
-    /// Sends a request of a user to a particular controller, if that is running.
+    /// Sends a request of a user that checks the consistency of answers to a particular controller, if that is running.
     pub(super) fn send_consistency_check(&mut self, user: usize, node: usize, request: UserRequest) {
         if self.is_up(node) {
             self.observations.consistency_checks.sent += 1;
+        }
+        self.send_request_to(user, node, request);
+    }
+
+    /// Sends a request of a user to a particular controller, if that is running.
+    pub(super) fn send_request_to(&mut self, user: usize, node: usize, request: UserRequest) {
+        if self.is_up(node) {
             self.send_user_request(user, node, request);
         }
     }
