Add the controllers' log lines and machine events to the trace of a simulation

SIMULATION_TRACE had only crashes and pauses, and LOG_LEVEL was without effect in the tests, since no logger was installed. The trace now has the log lines of each controller with the simulated time, the commands and lease renewals of each machine, starts of tasks and restarts of agents.

--- a/tests/simulation/controllers.rs
+++ b/tests/simulation/controllers.rs
@@ -321,6 +321,10 @@
         }
         let inspections_before = process.preemption_inspections();
         let actions = process.handle(clock, event);
+        for line in controller_log::take_lines() {
+            self.trace_line(|| format!("controller {node}: {line}"));
+        }
+        let Some(process) = &self.controllers[node].process else { return };
         let inspections = process.preemption_inspections().saturating_sub(inspections_before);
         assert_eq!(process.invariant_violations(), 0, "controller {node} has violated an invariant, see its log");
         for action in actions {
--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -11,6 +11,7 @@
 pub mod assertions;
 pub mod checker;
 pub mod cloud;
+mod controller_log;
 pub mod controllers;
 pub mod digest;
 pub mod events;
@@ -53,6 +54,7 @@
 use rand::rngs::SmallRng;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::ops::Range;
+use std::sync::OnceLock;
 
 /// One millisecond, in microseconds.
 pub const MS: u64 = 1000;
@@ -213,6 +215,12 @@
     pub rejected: u64,
 }
 
+/// Returns `true` if the environment variable `SIMULATION_TRACE` is set.
+fn is_trace_enabled() -> bool {
+    static IS_ENABLED: OnceLock<bool> = OnceLock::new();
+    *IS_ENABLED.get_or_init(|| std::env::var_os("SIMULATION_TRACE").is_some())
+}
+
 impl Simulation {
     /// Returns `true` if a task has been completed.
     pub fn is_completed(&self, job: &JobId, task: u32) -> bool {
@@ -231,7 +239,7 @@
 
     /// Records a log line if the environment variable `SIMULATION_TRACE` is set.
     fn trace_line(&mut self, text: impl Fn() -> String) {
-        if std::env::var_os("SIMULATION_TRACE").is_some() {
+        if is_trace_enabled() {
             self.trace.push(format!("{:.3} {}", self.now as f64 / SEC as f64, text()));
         }
     }
--- a/tests/simulation/setup.rs
+++ b/tests/simulation/setup.rs
@@ -50,6 +50,7 @@
             awaited_request: None,
             awaited_reply: None,
         };
+        controller_log::install();
         simulation.configure(Sharding::ThreeShards, "");
         simulation.cloud.stock = [4, 4];
         simulation.add_controllers();
--- a/tests/simulation/worker_commands.rs
+++ b/tests/simulation/worker_commands.rs
@@ -86,6 +86,7 @@
             worker.changed = true;
         }
         worker.lease_started_at = Some(sent_at);
+        self.trace_line(|| format!("machine {number}: lease renewed from {sent_at} with token {token}"));
         let commands = body["calls"].as_array().cloned().unwrap_or_default();
         self.execute_commands(number, &commands);
     }
@@ -108,6 +109,7 @@
         for command in commands {
             let Some(id) = command["egg"].as_str().and_then(|id| id.parse::<TaskId>().ok()) else { continue };
             let key = (id, command["hatch"].as_u64().unwrap_or(0));
+            self.trace_line(|| format!("machine {number}: command {command}"));
             let fetch_time = self.rng.random_range(100 * MS..1500 * MS);
             match command["call"].as_str() {
                 Some("run") => self.start_task(number, key, fetch_time),
--- a/tests/simulation/workers.rs
+++ b/tests/simulation/workers.rs
@@ -238,6 +238,7 @@
     /// probability of one half the agent forgets the fencing token.
     pub fn restart_machine(&mut self, number: u32, down_for: u64) {
         let (now, forgets_token) = (self.now, self.rng.random_bool(0.5));
+        self.trace_line(|| format!("machine {number}: agent restarts"));
         let Some(worker) = self.workers.get_mut(&number) else { return };
         worker.expire_lease();
         worker.heartbeat_in_flight = None;
@@ -320,7 +321,12 @@
         if worker.notice_at.is_some_and(|at| now >= at) {
             return self.reclaim_machine(number);
         }
+        let epoch = worker.epoch;
         worker.check_lease(now, disabled);
+        if worker.epoch > epoch {
+            self.trace_line(|| format!("machine {number}: lease expired, all tasks are lost"));
+        }
+        let Some(worker) = self.workers.get_mut(&number) else { return };
         if now < worker.hung_until {
             return;
         }
@@ -391,6 +397,7 @@
                     (false, false) => now.saturating_add(run_time),
                 };
                 let commanded_at = task.commanded_at;
+                self.trace_line(|| format!("machine {number}: task {id} attempt {} runs", key.1));
                 self.check_start(number, id, commanded_at);
             }
             TaskState::Running => {
