Refuse to report another state of a job after a final one, and count it

Every reply with a job's state passes Controller::reply_with_state or, if another controller answered, checked_leader_reply. A controller remembers the final states that it has reported, of as many jobs as it keeps final records of (records.ended-kept). A leader that would report a job as live from memory although it has the job's final record counts as a violation too.

Tests: a leader's answer that contradicts an earlier report is refused, and an answer that is merely late is replaced.

--- a/src/coordination/dependencies/operations.rs
+++ b/src/coordination/dependencies/operations.rs
@@ -7,6 +7,7 @@
 use crate::coordination::state_admission::TrafficClass;
 use crate::model::JobId;
 use crate::storage::records::{FinalRecord, LiveRecord};
+use crate::time::Time;
 use std::collections::HashSet;
 
 /// A call to the state service for a job with prerequisites.
@@ -89,6 +90,8 @@
     pub(super) requester: Requester,
     /// Job that was polled.
     pub(super) job: JobId,
+    /// Time at which the read of the polled job's record was sent.
+    pub(super) sent_at: Time,
     /// Prerequisites named by the record of the polled job.
     pub(super) prerequisites: Vec<JobId>,
     /// Jobs that still have to be visited.
--- a/src/coordination/dependencies/reported_state.rs
+++ b/src/coordination/dependencies/reported_state.rs
@@ -6,8 +6,8 @@
 use super::final_record::cancelled_before_start;
 use crate::coordination::leadership_term::LeadershipTerm;
 use crate::model::JobId;
-use crate::protocol::Reply;
 use crate::protocol::users::{JobState, JobView};
+use crate::time::Time;
 use std::fmt;
 
 /// Knowledge from which the state of a job with prerequisites was derived.
@@ -56,12 +56,19 @@
 }
 
 impl Controller {
-    /// Replies with the state of a job with prerequisites.
-    pub(super) fn reply_about_dependent(&mut self, requester: Requester, view: &JobView, source: StateSource) {
+    /// Replies with the state of a job with prerequisites that was derived at `derived_at`, or from records whose reads
+    /// were sent then or later.
+    pub(super) fn reply_about_dependent(
+        &mut self,
+        requester: Requester,
+        view: &JobView,
+        source: StateSource,
+        derived_at: Time,
+    ) {
         let is_withdrawn = view.state == JobState::Cancelled;
         let from_memory = matches!(source, StateSource::Memory(_));
         self.statistics.record_dependent_reply(DependentReplyKind { is_withdrawn, from_memory });
         log::debug!("job {}: reported as {:?} to {requester:?} from {source}", view.id, view.state);
-        self.reply(requester, Reply::json(200, view));
+        self.reply_with_state(requester, 200, view, derived_at);
     }
 }
--- a/src/coordination/dependencies/requests.rs
+++ b/src/coordination/dependencies/requests.rs
@@ -28,7 +28,7 @@
             WaitingStatus::Waiting => JobView::waiting(&id, shard.waiting_jobs.open_prerequisites(&id)),
         };
         let source = StateSource::Memory(shard.leadership_term());
-        self.reply_about_dependent(requester, &view, source);
+        self.reply_about_dependent(requester, &view, source, self.now);
     }
 
     /// Cancels a waiting job. The reply is sent once the final record is durable.
@@ -37,7 +37,7 @@
         let Some(shard) = self.shards.get_mut(&shard_id) else { return };
         if let Some(cause) = shard.waiting_jobs.withdrawn_with(&id) {
             let source = StateSource::Memory(shard.leadership_term());
-            return self.reply_about_dependent(requester, &withdrawn_view(&id, cause), source);
+            return self.reply_about_dependent(requester, &withdrawn_view(&id, cause), source, now);
         }
         let may_record = shard.may_record_cancellations(now);
         let Some(job) = shard.waiting_jobs.waiting_job_mut(&id) else {
--- a/src/coordination/dependencies/traversal.rs
+++ b/src/coordination/dependencies/traversal.rs
@@ -12,17 +12,19 @@
 use crate::protocol::users::{JobState, JobView};
 use crate::protocol::{BusyReason, Reply};
 use crate::storage::records::LiveRecord;
+use crate::time::Time;
 
 /// Maximum number of records that are read for one poll.
 const MAX_READS: u32 = 64;
 
 impl DependencyTraversal {
-    /// Creates the traversal that begins at the job with the given live record.
-    fn new(requester: Requester, record: &LiveRecord) -> DependencyTraversal {
+    /// Creates the traversal that begins at the job with the given live record, whose read was sent at `sent_at`.
+    fn new(requester: Requester, record: &LiveRecord, sent_at: Time) -> DependencyTraversal {
         let prerequisites = record.job.prerequisites.clone();
         DependencyTraversal {
             requester,
             job: record.job.id.clone(),
+            sent_at,
             unvisited: prerequisites.clone(),
             seen: prerequisites.iter().cloned().collect(),
             prerequisites,
@@ -43,14 +45,19 @@
 }
 
 impl Controller {
-    /// Answers a poll of a job from its live record `record`, from the records of its direct and indirect
+    /// Answers a poll of a job from its live record `record`, whose read was sent at `sent_at`, from the records of its direct and indirect
     /// prerequisites, and from the ends that this node knows. All records are read after the poll arrived. If the
     /// prerequisites are in part records, replies "busy", since only the leader can answer.
-    pub(in crate::coordination) fn traverse_dependencies(&mut self, requester: Requester, record: &LiveRecord) {
+    pub(in crate::coordination) fn traverse_dependencies(
+        &mut self,
+        requester: Requester,
+        record: &LiveRecord,
+        sent_at: Time,
+    ) {
         if record.parts > 0 {
             return self.reply(requester, Reply::busy(BusyReason::LeaderMustAnswer));
         }
-        self.continue_traversal(DependencyTraversal::new(requester, record));
+        self.continue_traversal(DependencyTraversal::new(requester, record, sent_at));
     }
 
     /// Visits the next job that is not known to be done. Answers the poll if that job is cancelled or no job is left.
@@ -61,7 +68,7 @@
                 Some(FinalState::Cancelled) => {
                     let view = withdrawn_view(&traversal.job, job);
                     let source = traversal.source();
-                    return self.reply_about_dependent(traversal.requester, &view, source);
+                    return self.reply_about_dependent(traversal.requester, &view, source, traversal.sent_at);
                 }
                 None => {
                     return self.read_in_traversal(TraversalRead { traversal, job, record_kind: JobRecordKind::Live });
@@ -81,7 +88,7 @@
             JobView::waiting(&traversal.job, not_ended)
         };
         let source = traversal.source();
-        self.reply_about_dependent(traversal.requester, &view, source);
+        self.reply_about_dependent(traversal.requester, &view, source, traversal.sent_at);
     }
 
     /// Sends a read of a record, or replies "busy" if the traversal has read too many records or the rate limits admit
--- a/src/coordination/directory.rs
+++ b/src/coordination/directory.rs
@@ -1,16 +1,29 @@
 //! Caches of the shards to which jobs and machines belong, and of the final records of jobs.
 
 use crate::model::{JobId, MachineId, ShardId};
+use crate::protocol::users::JobView;
 use crate::storage::records::FinalRecord;
+use crate::time::Time;
 use std::collections::{HashMap, VecDeque};
 
 /// Maximum number of jobs or machines in each table of shards. A table that exceeds it is cleared and fills again with
 /// later lookups.
 const MAX_SHARD_ENTRIES: usize = 20_000;
 
+/// A final state that was reported to a client.
+pub(super) struct ReportedEnd {
+    /// View of the job that was reported first.
+    pub view: JobView,
+    /// Time of that report.
+    pub at: Time,
+}
+
 /// Caches that save reads from the state service. Correctness does not depend on the presence of any entry.
 pub(super) struct Directory {
-    ended: EndedJobs,
+    /// Final records that are stored at the state service.
+    ended: EndedJobs<FinalRecord>,
+    /// Final states that this node has reported to clients.
+    reported: EndedJobs<ReportedEnd>,
     job_shards: HashMap<JobId, ShardId>,
     machine_shards: HashMap<MachineId, ShardId>,
 }
@@ -18,7 +31,12 @@
 impl Directory {
     /// Creates an empty directory that keeps the final records of at most `max_ended` jobs.
     pub fn new(max_ended: usize) -> Directory {
-        Directory { ended: EndedJobs::new(max_ended), job_shards: HashMap::new(), machine_shards: HashMap::new() }
+        Directory {
+            ended: EndedJobs::new(max_ended),
+            reported: EndedJobs::new(max_ended),
+            job_shards: HashMap::new(),
+            machine_shards: HashMap::new(),
+        }
     }
 
     /// Returns the final record of a job, if it is cached.
@@ -36,6 +54,16 @@
         self.ended.insert(job, end);
     }
 
+    /// Returns the final state of a job that was reported to a client, if it is still known.
+    pub fn reported_end_of(&self, job: &JobId) -> Option<&ReportedEnd> {
+        self.reported.records.get(job)
+    }
+
+    /// Records that a final state was reported to a client.
+    pub fn record_reported_end(&mut self, view: JobView, at: Time) {
+        self.reported.insert(view.id.clone(), ReportedEnd { view, at });
+    }
+
     /// Returns the shard to which a live job belongs, if it is cached.
     pub fn job_shard(&self, job: &JobId) -> Option<ShardId> {
         self.job_shards.get(job).copied()
@@ -82,21 +110,21 @@
     }
 }
 
-/// Final records of the jobs that ended last. Those of older jobs are read from the state service.
-struct EndedJobs {
-    records: HashMap<JobId, FinalRecord>,
-    /// Jobs with a cached record, in the order in which this node learned of their ends.
+/// What is known of the jobs that ended last, for each job one record.
+struct EndedJobs<Record> {
+    records: HashMap<JobId, Record>,
+    /// Jobs with a record, in the order in which this node learned of their ends.
     oldest_first: VecDeque<JobId>,
     capacity: usize,
 }
 
-impl EndedJobs {
-    fn new(capacity: usize) -> EndedJobs {
+impl<Record> EndedJobs<Record> {
+    fn new(capacity: usize) -> EndedJobs<Record> {
         EndedJobs { records: HashMap::new(), oldest_first: VecDeque::new(), capacity }
     }
 
-    fn insert(&mut self, job: JobId, end: FinalRecord) {
-        if self.records.insert(job.clone(), end).is_none() {
+    fn insert(&mut self, job: JobId, record: Record) {
+        if self.records.insert(job.clone(), record).is_none() {
             self.oldest_first.push_back(job);
         }
         while self.oldest_first.len() > self.capacity {
--- a/src/coordination/forwarding.rs
+++ b/src/coordination/forwarding.rs
@@ -25,11 +25,17 @@
 /// Request that was forwarded to the leader of its shard.
 struct PendingForward {
     client_request: ClientRequestId,
-    /// Time at which the request times out.
-    deadline: Time,
+    sent_at: Time,
     kind: ForwardedKind,
 }
 
+impl PendingForward {
+    /// Returns the time at which the request times out.
+    fn deadline(&self) -> Time {
+        self.sent_at + self.kind.timeout()
+    }
+}
+
 /// Kind of a forwarded request, with what is needed to answer it if the leader cannot.
 enum ForwardedKind {
     /// Submission. If the leader does not answer or answers with status 503, this node tries to accept the job.
@@ -75,8 +81,8 @@
         };
         let number = self.calls.next_call_id().0;
         let kind = ForwardedKind::of(&request);
-        let deadline = self.now + kind.timeout();
-        self.forwarded.pending.insert(number, PendingForward { client_request, deadline, kind });
+        let pending = PendingForward { client_request, sent_at: self.now, kind };
+        self.forwarded.pending.insert(number, pending);
         self.send_to_peer(leader, PeerMessage::ClientRequest { number, shard, client_request: request });
     }
 
@@ -110,7 +116,15 @@
                 self.directory.forget_job_shard(&job);
                 self.reply(requester, reply);
             }
-            _ => self.reply(requester, reply),
+            ForwardedKind::LeaderOnly(job) | ForwardedKind::Poll(job) => {
+                let reply = self.checked_leader_reply(&job, reply, forwarded.sent_at);
+                self.reply(requester, reply);
+            }
+            ForwardedKind::Submission(spec) => {
+                let reply = self.checked_leader_reply(&spec.id, reply, forwarded.sent_at);
+                self.reply(requester, reply);
+            }
+            ForwardedKind::WorkerHeartbeat => self.reply(requester, reply),
         }
     }
 
@@ -118,7 +132,7 @@
     /// polls from the jobs' records, refuses other requests of users, and redirects workers.
     pub(super) fn expire_forwarded_requests(&mut self) {
         let now = self.now;
-        let expired = self.forwarded.pending.extract_if(.., |_, forwarded| forwarded.deadline <= now);
+        let expired = self.forwarded.pending.extract_if(.., |_, forwarded| forwarded.deadline() <= now);
         let expired: Vec<PendingForward> = expired.map(|(_, forwarded)| forwarded).collect();
         for PendingForward { client_request, kind, .. } in expired {
             let requester = Requester::Local(client_request);
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -26,6 +26,7 @@
 mod relay;
 mod rentals;
 mod replica;
+mod reported_states;
 mod request_statistics;
 mod scale_in;
 mod scale_out;
--- a/src/coordination/user_requests/acceptance.rs
+++ b/src/coordination/user_requests/acceptance.rs
@@ -5,15 +5,15 @@
 use super::super::leadership::StepDownReason;
 use super::new_job::{AcceptancePath, NewJob, RecordTooLarge, Submission};
 use super::operations::{LookupPurpose, UserOperation};
-use super::views::state_reply;
 use crate::coordination::state_admission::TrafficClass;
 use crate::model::{JobId, Revision, ShardId};
 use crate::protocol::state::StateResult;
 use crate::protocol::state::{Change, Condition, StateAnswer, StateCall};
-use crate::protocol::users::JobState;
+use crate::protocol::users::{JobState, JobView};
 use crate::protocol::{BusyReason, Reply};
 use crate::storage::keys;
 use crate::storage::records::to_value;
+use crate::time::Time;
 
 impl Controller {
     /// Accepts a job that is not known to this node and whose prerequisites were all accepted.
@@ -116,8 +116,8 @@
             && !has_ended
             && let Some(first) = requesters.next()
         {
-            // The record is durable, whichever controller leads the shard now.
-            self.reply(first, Reply { status: 201, ..state_reply(&id, JobState::Queued, 0, 0) });
+            // The record is durable, whichever controller leads the shard now. The submission is older than any report.
+            self.reply_with_state(first, 201, &JobView::new(&id, JobState::Queued, 0, 0), Time::ZERO);
         }
         // The other requesters asked later and may have been told since that the job has ended, so a reply of
         // 201 could contradict that. If a prerequisite was cancelled, the job is withdrawn from the start.
--- a/src/coordination/user_requests/lookup.rs
+++ b/src/coordination/user_requests/lookup.rs
@@ -5,12 +5,12 @@
 use super::super::job_record_reads::{JobRecordAnswer, JobRecordKind, VersionedRecord};
 use super::adoption::{AdoptionOutcome, AdoptionSource};
 use super::operations::{JobLookup, LookupPurpose, UserOperation};
-use super::views::{final_reply, state_reply};
+use super::views::final_view;
 use crate::coordination::state_admission::TrafficClass;
 use crate::model::{JobId, ShardId};
 use crate::protocol::peers::ForwardedRequest;
 use crate::protocol::state::StateResult;
-use crate::protocol::users::JobState;
+use crate::protocol::users::{JobState, JobView};
 use crate::protocol::{BusyReason, Reply};
 use crate::storage::range_set::RangeSet;
 use crate::storage::records::{FinalRecord, LiveRecord};
@@ -47,7 +47,7 @@
 
     /// Answers a request about a job that has ended.
     fn final_record_found(&mut self, lookup: JobLookup, end: FinalRecord) {
-        self.reply(lookup.requester, final_reply(&lookup.job, &end));
+        self.reply_with_state(lookup.requester, 200, &final_view(&lookup.job, &end), lookup.sent_at);
         self.directory.record_end(lookup.job, end);
     }
 
@@ -69,13 +69,12 @@
     fn live_record_found(&mut self, lookup: JobLookup, found: VersionedRecord) {
         let (id, shard_id) = (found.record.job.id.clone(), found.record.deciding_shard());
         self.directory.set_job_shard(lookup.job.clone(), shard_id);
-        if let Some(end) = self.directory.end_of(&id) {
+        if let Some(reply) = self.known_final_reply(&id) {
             // The job has ended since the record was read.
-            let reply = final_reply(&id, end);
             return self.reply(lookup.requester, reply);
         }
         if matches!(lookup.purpose, LookupPurpose::DependencyTraversal) {
-            return self.traverse_dependencies(lookup.requester, &found.record);
+            return self.traverse_dependencies(lookup.requester, &found.record, lookup.sent_at);
         }
         if self.may_decide(shard_id) && self.shards.get(&shard_id).is_some_and(|shard| shard.is_active()) {
             return self.adopt_and_answer(lookup, shard_id, found);
@@ -105,15 +104,15 @@
         match lookup.purpose {
             LookupPurpose::Cancel => self.forward(lookup.requester, shard_id, ForwardedRequest::Cancel(id)),
             LookupPurpose::Forecast => self.forward(lookup.requester, shard_id, ForwardedRequest::Forecast(id)),
-            _ if record.is_waiting() => self.traverse_dependencies(lookup.requester, record),
-            _ => self.reply(lookup.requester, recorded_progress(record)),
+            _ if record.is_waiting() => self.traverse_dependencies(lookup.requester, record, lookup.sent_at),
+            _ => self.reply_with_state(lookup.requester, 200, &recorded_progress(record), lookup.sent_at),
         }
     }
 }
 
-/// Returns the reply to a poll of a live job with the progress shown by its record.
-fn recorded_progress(record: &LiveRecord) -> Reply {
+/// Returns the view of a live job with the progress shown by its record.
+fn recorded_progress(record: &LiveRecord) -> JobView {
     let done = RangeSet::parse(&record.done, record.job.tasks).map_or(0, |done| done.len());
     let state = if done > 0 { JobState::Running } else { JobState::Queued };
-    state_reply(&record.job.id, state, done, 0)
+    JobView::new(&record.job.id, state, done, 0)
 }
--- a/src/coordination/user_requests/polling.rs
+++ b/src/coordination/user_requests/polling.rs
@@ -4,7 +4,7 @@
 use super::super::controller::Controller;
 use super::super::events::Requester;
 use super::operations::LookupPurpose;
-use super::views::{final_reply, live_reply};
+use super::views::live_view;
 use crate::model::{JobId, ShardId};
 use crate::protocol::peers::ForwardedRequest;
 use crate::protocol::{BusyReason, Reply};
@@ -81,7 +81,10 @@
         }
         let shard = self.shards.get(&shard_id);
         match shard.and_then(|shard| shard.jobs.get(&job)) {
-            Some(job) => self.reply(requester, live_reply(job)),
+            Some(job) => match live_view(job) {
+                Some(view) => self.reply_with_state(requester, 200, &view, self.now),
+                None => self.reply(requester, Reply::busy(BusyReason::FinalWritePending)),
+            },
             None if shard.is_some_and(|shard| shard.contains_job(&job)) => {
                 self.poll_waiting_job(requester, shard_id, job);
             }
@@ -117,11 +120,6 @@
         }
     }
 
-    /// Returns the reply for a job that this node knows to have ended, or `None` for any other job.
-    pub(super) fn known_final_reply(&self, job: &JobId) -> Option<Reply> {
-        self.directory.end_of(job).map(|end| final_reply(job, end))
-    }
-
     /// Returns the shard led by this node that has the job in memory.
     pub(in crate::coordination) fn active_shard_with(&self, job: &JobId) -> Option<ShardId> {
         self.shards.values().find(|shard| shard.is_active() && shard.contains_job(job)).map(|shard| shard.id)
--- a/src/protocol/busy_reason.rs
+++ b/src/protocol/busy_reason.rs
@@ -31,6 +31,8 @@
     FinalWritePending,
     /// The write of a prerequisite's final record is in progress or in doubt.
     PrerequisiteWritePending,
+    /// The state that was to be reported contradicts the final state of the job.
+    FinalStateContradicted,
     /// No leader of the shard can be reached from this node.
     LeaderUnreachable,
     /// The job has part records, so only the leader of the shard can answer.
@@ -91,6 +93,7 @@
             BusyReason::LeadershipOverlap => "its former holder may not know yet that it was replaced",
             BusyReason::FinalWritePending => "its record is being written",
             BusyReason::PrerequisiteWritePending => "the record of a job that it needs is being written",
+            BusyReason::FinalStateContradicted => "its state is not certain",
             BusyReason::LeaderUnreachable => "its shard is changing hands",
             BusyReason::LeaderMustAnswer => "its shard's holder has to be asked",
             BusyReason::NoCatalog => "machine types not known yet",
--- a/src/protocol/users/views.rs
+++ b/src/protocol/users/views.rs
@@ -23,6 +23,13 @@
     Cancelled,
 }
 
+impl JobState {
+    /// Returns `true` if the job has ended, so that its state never changes again.
+    pub fn is_final(self) -> bool {
+        matches!(self, JobState::Done | JobState::Cancelled)
+    }
+}
+
 /// Body of the answer to a submission, a poll or a cancellation.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct JobView {
--- a/tests/fault_combinations/main.rs
+++ b/tests/fault_combinations/main.rs
@@ -9,6 +9,7 @@
 mod machine_failures;
 mod network_failures;
 mod pipelines;
+mod reported_states;
 mod runner;
 #[path = "../simulation/mod.rs"]
 mod simulation;
--- a/tests/fault_combinations/runner.rs
+++ b/tests/fault_combinations/runner.rs
@@ -103,7 +103,8 @@
         let trace = simulation.trace.join("\n");
         Some(format!("seed {seed}, {names:?}: {:?}\n{trace}", simulation.violations))
     } else if !unfinished.is_empty() {
-        Some(format!("seed {seed}, {names:?}: jobs that were not reported as done: {unfinished:?}"))
+        let trace = simulation.trace.join("\n");
+        Some(format!("seed {seed}, {names:?}: jobs that were not reported as done: {unfinished:?}\n{trace}"))
     } else {
         None
     };
--- a/tests/simulation/controllers.rs
+++ b/tests/simulation/controllers.rs
@@ -162,16 +162,31 @@
 
     /// Returns the reply of a controller, or `None` if the controller has to make a call first.
     pub fn immediate_reply(&mut self, node: usize, request: ClientRequest) -> Option<Reply> {
-        let clock = self.clock(node);
-        let request_id = ClientRequestId(u64::MAX);
-        let process = self.controllers[node].process.as_mut()?;
-        let actions = process.handle(clock, Event::ClientRequest { id: request_id, client_request: request });
+        let id = ClientRequestId(u64::MAX);
+        let actions = self.actions_of(node, Event::ClientRequest { id, client_request: request });
         actions.into_iter().find_map(|action| match action {
-            Action::Reply { id, reply } if id == request_id => Some(reply),
+            Action::Reply { id: replied, reply } if replied == id => Some(reply),
             _ => None,
         })
     }
 
+    /// Passes an event to a controller and returns the resulting actions without carrying them out.
+    pub fn actions_of(&mut self, node: usize, event: Event) -> Vec<Action> {
+        let clock = self.clock(node);
+        let process = self.controllers[node].process.as_mut();
+        process.map(|process| process.handle(clock, event)).unwrap_or_default()
+    }
+
+    /// Returns how many times a controller has violated one of its own invariants.
+    pub fn invariant_violations(&self, node: usize) -> u64 {
+        self.controllers[node].process.as_ref().map_or(0, Controller::invariant_violations)
+    }
+
+    /// Returns the label of a controller.
+    pub fn label(&self, node: usize) -> NodeLabel {
+        self.controllers[node].label.clone()
+    }
+
     /// Sends a request to a controller and runs until the reply or the timeout.
     pub fn request(&mut self, node: usize, request: ClientRequest, timeout: u64) -> Option<Reply> {
         let id = ClientRequestId(self.next_sequence_number());
