Start no task without a lease on a machine whose agent may have forgotten the token

What callers saw, in the simulation: a task started on one machine while it ran on another (ran_twice).

Cause: a leader that the state service does not answer goes on starting tasks on machines that it knows (recovery.hold-on), since the workers of its successor drop its answers for their lower token. The agent of one machine restarted and forgot the successor's token. It found the deposed leader first and obeyed it.

Fix: without a valid leader lease, tasks are started on a machine only if a leadership check sent after its agent epoch was first seen has confirmed the term. A successor's token can then be known to the worker only if it was sent later, and an agent that restarts begins a new epoch. With a valid lease nothing changes.

Open: within the overlap, a deposed leader with a valid lease may still start tasks on such a machine.

--- a/crates/leadership/src/leader_lease.rs
+++ b/crates/leadership/src/leader_lease.rs
@@ -69,10 +69,15 @@
         self.bounds.is_none_or(|bounds| now < self.deadline_after(bounds.read_ms))
     }
 
+    /// Returns `true` if a leadership check that was sent at `at` or later has confirmed the term.
+    pub fn was_confirmed_after(&self, at: Time) -> bool {
+        self.confirmed_at >= at
+    }
+
     /// Returns `true` if the term was certainly in force at `at`. Conclusions from a read made at `at` or earlier are
     /// valid only then.
     pub fn confirmed_since(&self, at: Time) -> bool {
-        self.bounds.is_none() || self.confirmed_at >= at
+        self.bounds.is_none() || self.was_confirmed_after(at)
     }
 
     fn deadline_after(&self, bound_ms: u64) -> Time {
--- a/src/coordination/placement/binding.rs
+++ b/src/coordination/placement/binding.rs
@@ -103,7 +103,7 @@
             machine_type,
             zone: machine.zone.clone(),
             spot: machine.spot,
-            heartbeat: machine.last_heartbeat,
+            heartbeat: machine.last_heartbeat(),
             free,
             max_commands,
             commands: Vec::new(),
--- a/src/coordination/shard/machine.rs
+++ b/src/coordination/shard/machine.rs
@@ -69,7 +69,9 @@
     /// Fencing token that commands to the machine carry.
     pub token: FencingToken,
     /// Number of the newest heartbeat that was handled.
-    pub last_heartbeat: HeartbeatNumber,
+    last_heartbeat: HeartbeatNumber,
+    /// Time at which this leader first learned of the current agent epoch.
+    epoch_seen_at: Time,
     /// Time at which a heartbeat of the machine was last answered with 200, or at which the machine was reconciled by a
     /// direct call, since the leader that answered before may have granted a worker lease until then. The worker lease
     /// starts no later than that. `None` if neither has happened under this leader.
@@ -179,6 +181,7 @@
             version,
             token: FencingToken(term.0.max(version.0)),
             last_heartbeat: HeartbeatNumber::NONE,
+            epoch_seen_at: now,
             last_answered_at: None,
             reconciled: false,
             answer_loss: AnswerLossDetector::default(),
@@ -201,6 +204,25 @@
         }
     }
 
+    /// Returns the number of the newest heartbeat that was handled.
+    pub fn last_heartbeat(&self) -> HeartbeatNumber {
+        self.last_heartbeat
+    }
+
+    /// Records the number of the newest heartbeat that was handled.
+    pub fn set_last_heartbeat(&mut self, number: HeartbeatNumber, now: Time) {
+        if number.epoch != self.last_heartbeat.epoch {
+            self.epoch_seen_at = now;
+        }
+        self.last_heartbeat = number;
+    }
+
+    /// Returns `true` if a leadership check has confirmed the term since the current agent epoch was first seen. Until
+    /// then, the worker may have forgotten the fencing token of a newer leader.
+    pub fn is_epoch_confirmed(&self, lease: &LeaderLease) -> bool {
+        lease.was_confirmed_after(self.epoch_seen_at)
+    }
+
     /// Returns the time after which no attempt on the machine can still be running, unless another leader has renewed
     /// the worker lease.
     pub fn worker_lease_end(&self, worker_lease: Span) -> Time {
--- a/src/coordination/shard_recovery/machine_queries.rs
+++ b/src/coordination/shard_recovery/machine_queries.rs
@@ -33,7 +33,7 @@
             WorkerAnswer::Executed(heartbeat) => (heartbeat, true),
             WorkerAnswer::Rejected(heartbeat) => (heartbeat, false),
         };
-        if heartbeat.machine != *id || HeartbeatNumber::of(&heartbeat) <= machine.last_heartbeat {
+        if heartbeat.machine != *id || HeartbeatNumber::of(&heartbeat) <= machine.last_heartbeat() {
             return ReconciliationAnswer::Unusable;
         }
         if executed && heartbeat.token >= machine.token {
@@ -61,7 +61,7 @@
         for id in shard.recovery.next_queries(now) {
             match shard.machines.get(&id) {
                 Some(machine) if !machine.deleting => {
-                    let known_epoch = machine.last_heartbeat.epoch;
+                    let known_epoch = machine.last_heartbeat().epoch;
                     let epoch = if known_epoch == NO_EPOCH { FIRST_EPOCH } else { known_epoch };
                     let request = WorkerCall { token: machine.token, epoch, commands: Vec::new() };
                     calls.push((id, machine.addr, request));
@@ -106,7 +106,7 @@
         let (now, id) = (self.now, &heartbeat.machine);
         let Some(shard) = self.shards.get_mut(&shard_id) else { return };
         let Some(machine) = shard.machines.get_mut(id) else { return };
-        machine.last_heartbeat = HeartbeatNumber::of(heartbeat);
+        machine.set_last_heartbeat(HeartbeatNumber::of(heartbeat), now);
         machine.last_contact_at = now;
         machine.reconciled_by = machine.reconciled_by.max(now);
         // The worker lease was granted by the leader that answered last, and may run on until the machine sends a
@@ -122,7 +122,7 @@
         let now = self.now;
         let Some(shard) = self.shards.get_mut(&shard_id) else { return };
         let Some(machine) = shard.machines.get_mut(id) else { return };
-        machine.last_heartbeat = HeartbeatNumber::before_epoch(epoch);
+        machine.set_last_heartbeat(HeartbeatNumber::before_epoch(epoch), now);
         let (addr, token) = (machine.addr, machine.token);
         shard.recovery.record_repeated_query(id, now);
         self.call_worker(shard_id, id, addr, WorkerCall { token, epoch, commands: Vec::new() });
--- a/src/coordination/worker_heartbeats/direct_calls.rs
+++ b/src/coordination/worker_heartbeats/direct_calls.rs
@@ -32,7 +32,7 @@
     /// Creates a call with the given commands under the machine's present token and epoch. Without commands the call is
     /// a probe.
     fn new(id: &MachineId, machine: &Machine, commands: Vec<Command>) -> DirectCall {
-        let request = WorkerCall { token: machine.token, epoch: machine.last_heartbeat.epoch, commands };
+        let request = WorkerCall { token: machine.token, epoch: machine.last_heartbeat().epoch, commands };
         DirectCall { machine: id.clone(), addr: machine.addr, request }
     }
 }
--- a/src/coordination/worker_heartbeats/serving.rs
+++ b/src/coordination/worker_heartbeats/serving.rs
@@ -62,12 +62,25 @@
         self.finish_jobs(shard_id);
     }
 
+    /// Returns `true` if tasks may be started on a machine.
+    ///
+    /// Without a valid leader lease, tasks are started only if the property recovery.hold-on is set, only while worker
+    /// leases are still renewed, and only by workers that surely know the fencing token of a successor, if there is
+    /// one: see "Starting tasks during an outage" in docs/reconciliation.md.
+    fn may_start_tasks(&self, shard_id: ShardId, machine_id: &MachineId) -> bool {
+        if self.may_decide(shard_id) {
+            return true;
+        }
+        let Some(shard) = self.shards.get(&shard_id) else { return false };
+        let machine = shard.machines.get(machine_id);
+        self.settings.properties.recovery.start_without_lease
+            && machine.is_some_and(|machine| machine.is_epoch_confirmed(&shard.leadership.leader_lease))
+    }
+
     /// Returns the commands for the answer to a heartbeat of the machine.
     fn heartbeat_commands(&mut self, shard_id: ShardId, machine_id: &MachineId) -> Vec<Command> {
-        // Stopping tasks whose job has ended is always safe. Without a valid leader lease, tasks are started only if
-        // the property recovery.hold-on is set, and only while worker leases are still renewed: see "Starting tasks
-        // during an outage" in docs/reconciliation.md.
-        let may_start_tasks = self.may_decide(shard_id) || self.settings.properties.recovery.start_without_lease;
+        // Stopping tasks whose job has ended is always safe.
+        let may_start_tasks = self.may_start_tasks(shard_id, machine_id);
         let context = PlacementContext {
             settings: &self.settings,
             types: self.cloud.types(),
@@ -115,7 +128,7 @@
         worker_lease: Span,
     ) -> TaskListValidity {
         let number = HeartbeatNumber::of(heartbeat);
-        if number <= self.last_heartbeat {
+        if number <= self.last_heartbeat() {
             // The heartbeat was delayed, or overtaken by the answer to a direct call.
             self.last_answered_at = Some(now);
             return TaskListValidity::Outdated;
@@ -123,7 +136,7 @@
         let answer_evidence = self.answer_evidence(heartbeat);
         self.answer_loss.record_heartbeat(now, heartbeat.epoch, answer_evidence, self.last_answered_at, worker_lease);
         let was_never_used = self.reconciled && self.last_answered_at.is_none() && self.attempts.is_empty();
-        self.last_heartbeat = number;
+        self.set_last_heartbeat(number, now);
         self.last_contact_at = now;
         if is_relayed {
             self.relayed_at = Some(now);
--- a/tests/fault_combinations/main.rs
+++ b/tests/fault_combinations/main.rs
@@ -13,6 +13,7 @@
 mod runner;
 #[path = "../simulation/mod.rs"]
 mod simulation;
+mod starts_without_lease;
 mod state_service_failures;
 mod unanswered_state_calls;
 mod user_requests;
