Test polls and invalid requests while the leader is in doubt about cancellations

- Dependents are reported by some controller while their leader gets no answers of the state service for 10 s, and by all within 75 s of the fault's end.
- Unknown or own prerequisites get 422, malformed submissions 400 and unknown jobs 404 at every controller while cancellations are in doubt.
- The drawn dependents are of another team, and so of another shard, in 3 of 10 cases.

--- a/tests/fault_combinations/cancellations_in_doubt.rs
+++ b/tests/fault_combinations/cancellations_in_doubt.rs
@@ -3,10 +3,10 @@
 use crate::combinations::fault_combination;
 use crate::runner::run_with;
 use crate::simulation::users::spec;
-use crate::simulation::{DisabledSafeguard, MS, SEC, Simulation, TemporaryFault};
+use crate::simulation::{CONTROLLERS, DisabledSafeguard, MS, SEC, Simulation, TemporaryFault};
 use crowstall::model::*;
 use crowstall::protocol::Reply;
-use crowstall::protocol::users::ClientRequest;
+use crowstall::protocol::users::{ClientRequest, InvalidJob, InvalidReason};
 use std::collections::BTreeSet;
 
 /// Number of jobs that are cancelled. Each has one dependent.
@@ -34,17 +34,23 @@
     dependents
 }
 
-/// Runs a simulation in which cancellations are recorded seconds late and without an answer to the leader, and further
-/// attempts to record them are refused. Checks that the leader reports no dependent as live once the cancellation of its
-/// prerequisite is recorded. Returns the number of dependents for which that was checked.
-fn check_answers_about_dependents(seed: u64, dependents_submitted_at: u64) -> usize {
+/// Returns a simulation at [`WHILE_IN_DOUBT`] in which the leader does not know whether cancellations are recorded, and
+/// the users of dependents of the cancelled jobs.
+fn start_with_cancellations_in_doubt(seed: u64, dependents_submitted_at: u64) -> (Simulation, Vec<usize>) {
     let mut simulation = Simulation::with_one_shard(seed, [12, 12]);
     simulation.cloud.reliable = true;
-    simulation.add_services();
     let dependents = add_cancelled_jobs_with_dependents(&mut simulation, dependents_submitted_at);
     simulation.run_until(25 * SEC);
     simulation.state_service.delayed_commits = Some(TemporaryFault::new(WHILE_IN_DOUBT, 1.0));
     simulation.run_until(WHILE_IN_DOUBT);
+    (simulation, dependents)
+}
+
+/// Runs a simulation in which cancellations are recorded seconds late and without an answer to the leader, and further
+/// attempts to record them are refused. Checks that the leader reports no dependent as live once the cancellation of its
+/// prerequisite is recorded. Returns the number of dependents for which that was checked.
+fn check_answers_about_dependents(seed: u64, dependents_submitted_at: u64) -> usize {
+    let (mut simulation, dependents) = start_with_cancellations_in_doubt(seed, dependents_submitted_at);
     let (node, until) = (simulation.current_leader(), simulation.now + 12 * SEC);
     simulation.state_service.refused_prefix = Some(TemporaryFault::new(until, "end/"));
     let mut stale = 0;
@@ -98,3 +104,77 @@
     }
     assert!(withdrawn > 1000, "only {withdrawn} dependents were reported as withdrawn");
 }
+
+/// Returns the controllers that report the state of a job in reply to a poll.
+fn controllers_that_answer(simulation: &mut Simulation, job: &JobId) -> BTreeSet<usize> {
+    let answers = |node: &usize| {
+        let reply = simulation.request(*node, ClientRequest::Poll(job.clone()), 2 * SEC);
+        reply.is_some_and(|reply| reply.status == 200)
+    };
+    (0..CONTROLLERS).filter(answers).collect()
+}
+
+/// Guards against dependents that no controller reports while their leader gets no answers of the state service.
+#[test]
+fn dependents_stay_answered_while_the_leader_gets_no_answers_for_ten_seconds() {
+    for seed in 0..6 {
+        let (mut simulation, dependents) = start_with_cancellations_in_doubt(seed, BEFORE_CANCELLATIONS);
+        let (leader, fault_end) = (simulation.current_leader(), simulation.now + 10 * SEC);
+        simulation.state_service.unanswered_controller = Some(TemporaryFault::new(fault_end, leader));
+        let sample: Vec<JobId> =
+            dependents.iter().step_by(10).map(|user| simulation.users[*user].spec.id.clone()).collect();
+        let mut answered = BTreeSet::new();
+        while simulation.now < fault_end && answered.len() < sample.len() {
+            for job in &sample {
+                if !controllers_that_answer(&mut simulation, job).is_empty() {
+                    answered.insert(job.clone());
+                }
+            }
+        }
+        assert_eq!(answered.len(), sample.len(), "seed {seed}: answered during the fault: {answered:?}");
+        simulation.run_until(fault_end + 60 * SEC);
+        for job in &sample {
+            let controllers = controllers_that_answer(&mut simulation, job);
+            assert_eq!(
+                controllers.len(),
+                CONTROLLERS,
+                "seed {seed}: only {controllers:?} report {job} after the fault"
+            );
+        }
+        assert!(simulation.now < fault_end + 75 * SEC, "seed {seed}: the polls took too long");
+        simulation.assert_no_violations();
+    }
+}
+
+/// Guards against accepting invalid submissions, or inventing jobs, while the leader is in doubt about cancellations.
+#[test]
+fn invalid_requests_are_rejected_while_cancellations_are_in_doubt() {
+    for seed in 0..3 {
+        let (mut simulation, dependents) = start_with_cancellations_in_doubt(seed, BEFORE_CANCELLATIONS);
+        let fault_end = simulation.now + 12 * SEC;
+        simulation.state_service.refused_prefix = Some(TemporaryFault::new(fault_end, "end/"));
+        let dependent = simulation.users[dependents[0]].spec.id.clone();
+        let id = |number: u32| spec(number, JobKind::Array, "free", 1, 1.0).id;
+        let job = |number: u32, prerequisites: Vec<JobId>| JobSpec {
+            prerequisites,
+            ..spec(number, JobKind::Array, "free", 1, 1.0)
+        };
+        for node in 0..CONTROLLERS {
+            let number = 800 + node as u32 * 10;
+            let malformed = InvalidJob { id: Some(id(number + 2)), reason: InvalidReason::NotAnObject };
+            let cases = [
+                (ClientRequest::Submit(Ok(job(number, vec![dependent.clone(), id(999)]))), 422),
+                (ClientRequest::Submit(Ok(job(number + 1, vec![id(number + 1)]))), 422),
+                (ClientRequest::Submit(Err(malformed)), 400),
+                (ClientRequest::Poll(id(number + 3)), 404),
+                (ClientRequest::Cancel(id(number + 3)), 404),
+            ];
+            for (number, (request, status)) in cases.into_iter().enumerate() {
+                let reply = simulation.request(node, request, 4 * SEC).expect("the controller answers");
+                assert_eq!(reply.status, status, "seed {seed}, controller {node}, case {number}: {}", reply.body);
+            }
+        }
+        assert!(simulation.now < fault_end, "seed {seed}: the requests took too long");
+        simulation.assert_no_violations();
+    }
+}
--- a/tests/fault_combinations/pipelines.rs
+++ b/tests/fault_combinations/pipelines.rs
@@ -97,12 +97,13 @@
     }
 }
 
-/// Adds a dependent that is submitted at all controllers at a random time after `from`, and polled at all of them
+/// Adds a dependent, sometimes of another team, that is submitted at all controllers at a random time after `from`, and polled at all of them
 /// afterwards. Returns the index of its user.
 fn add_dependent(simulation: &mut Simulation, job: usize, from: u64, delay: Range<u64>) -> usize {
     let id = next_job_id(simulation);
     let submit_at = from + simulation.rng.random_range(delay);
-    let dependent = spec(id, JobKind::Array, "free", 1, 1.0);
+    let team = if simulation.rng.random_bool(0.7) { "free" } else { "limited" };
+    let dependent = spec(id, JobKind::Array, team, 1, 1.0);
     let user = simulation.add_dependent_job(dependent, &[job], SEC, submit_at + 100 * MS, None);
     for node in 0..CONTROLLERS {
         let at = submit_at + simulation.rng.random_range(0..5 * MS);
