One owner for the paths of health checks and heartbeats; plain counter for preemption

The paths stood in the transport and in the protocol. The number of inspections of preemption was a Cell, though a round has the shard mutably. The log line for a record that is refused for its size gave the same fact twice.

--- a/src/coordination/controller.rs
+++ b/src/coordination/controller.rs
@@ -184,7 +184,7 @@
     /// Returns how many machines and attempts were inspected so far in search of room for waiting tasks: a measure of
     /// the cost of preemption that does not depend on the speed of the machine.
     pub fn preemption_inspections(&self) -> u64 {
-        self.shards.values().map(|shard| shard.preemption_inspections.get()).sum()
+        self.shards.values().map(|shard| shard.preemption_inspections).sum()
     }
 
     /// Recomputes this node's share of the rate limits of the state service and the cloud.
--- a/src/coordination/job_persistence/progress.rs
+++ b/src/coordination/job_persistence/progress.rs
@@ -114,10 +114,10 @@
     fn record_too_large(&mut self, shard_id: ShardId, id: &JobId) {
         let Some(job) = self.job_mut(shard_id, id) else { return };
         job.record.size = job.record.size.after_refusal();
-        let consequence = match job.record.size {
-            RecordSize::Fits | RecordSize::TooLargeWithRanges => "leaving out its completed tasks",
-            RecordSize::TooLarge => "no longer writing its progress",
-        };
-        log::error!("job {id}: record was refused for its size ({:?}); {consequence}", job.record.size);
+        if job.record.size == RecordSize::TooLarge {
+            log::error!("job {id}: record was refused for its size; no longer writing its progress");
+        } else {
+            log::error!("job {id}: record was refused for its size; leaving out its completed tasks");
+        }
     }
 }
--- a/src/coordination/placement/preemption.rs
+++ b/src/coordination/placement/preemption.rs
@@ -142,7 +142,7 @@
         round.inspections = index.inspections();
         round.is_within_limit = limit.holds_for(round.inspections);
         round.is_cut_off = self.preemption_resumes_at.is_some();
-        self.count_preemption_inspections(round.inspections);
+        self.preemption_inspections += round.inspections;
         round
     }
 
--- a/src/coordination/shard/mod.rs
+++ b/src/coordination/shard/mod.rs
@@ -87,7 +87,7 @@
     /// Number of jobs and machines that were inspected while heartbeats were handled.
     pub inspections: Cell<u64>,
     /// Number of machines and attempts that were inspected in search of room for waiting tasks.
-    pub preemption_inspections: Cell<u64>,
+    pub preemption_inspections: u64,
     /// Job with which the next round of preemption starts, if the previous one ended at its limit.
     pub preemption_resumes_at: Option<JobId>,
 }
@@ -172,7 +172,7 @@
             finished: Vec::new(),
             runtime_samples: None,
             inspections: Cell::new(0),
-            preemption_inspections: Cell::new(0),
+            preemption_inspections: 0,
             preemption_resumes_at: None,
         }
     }
@@ -301,11 +301,6 @@
         self.inspections.set(self.inspections.get() + count as u64);
     }
 
-    /// Adds to the number of machines and attempts that were inspected in search of room for waiting tasks.
-    pub fn count_preemption_inspections(&self, count: u64) {
-        self.preemption_inspections.set(self.preemption_inspections.get() + count);
-    }
-
     /// Adds a machine that a former leader may have used. `size` is the capacity of the machine, `reconciled_by` the
     /// time by which every worker lease granted by a former leader has surely expired.
     pub fn load_machine(
--- a/src/protocol/users/mod.rs
+++ b/src/protocol/users/mod.rs
@@ -12,6 +12,10 @@
 use super::workers::{self, WorkerHeartbeat};
 use crate::model::{JobId, JobSpec};
 
+/// Path of the health check.
+pub const HEALTH_PATH: &str = "/up";
+/// Path of the workers' heartbeats.
+pub const HEARTBEAT_PATH: &str = "/hello";
 /// Prefix of all job ids.
 const JOB_ID_PREFIX: &str = "wk-";
 /// Maximum number of digits in a job id.
@@ -78,8 +82,8 @@
     /// Returns the endpoint with the given path, or `None` if there is none.
     fn of_path(path: &'a str) -> Option<Endpoint<'a>> {
         match path {
-            "/hello" => Some(Endpoint::Heartbeat),
-            "/up" => Some(Endpoint::Up),
+            HEARTBEAT_PATH => Some(Endpoint::Heartbeat),
+            HEALTH_PATH => Some(Endpoint::Up),
             "/v1/recoveries" => Some(Endpoint::Recoveries),
             "/v1/jobs" => Some(Endpoint::Submit),
             _ => Endpoint::of_job_path(path.strip_prefix("/v1/jobs/")?),
--- a/src/service.rs
+++ b/src/service.rs
@@ -13,7 +13,7 @@
 use crate::protocol::{CallError, Outgoing, users};
 use crate::time::{Span, Time};
 use crate::transport::http::{OutgoingRequest, Request, Response};
-use crate::transport::{CallId, HEALTH_PATH, NetEvent, RequestId, Transport};
+use crate::transport::{CallId, NetEvent, RequestId, Transport};
 use calloop::EventLoop;
 use std::collections::HashMap;
 use std::io;
@@ -231,7 +231,7 @@
                 send_request(transport, call, addr, &request.request(), WORKER_TIMEOUT);
             }
             Action::Probe { call, addr } => {
-                let outgoing = Outgoing::get(HEALTH_PATH.to_string());
+                let outgoing = Outgoing::get(users::HEALTH_PATH.to_string());
                 self.start_call(call, PendingCall::Probe);
                 send_request(transport, call, addr, &outgoing, PROBE_TIMEOUT);
             }
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -6,4 +6,4 @@
 mod request_kind;
 
 pub use reactor::{CallId, MAX_FRAME, NetEvent, RequestId, Transport, TransportStatistics};
-pub use request_kind::{HEALTH_PATH, RequestKind};
+pub use request_kind::RequestKind;
--- a/src/transport/request_kind.rs
+++ b/src/transport/request_kind.rs
@@ -1,12 +1,8 @@
 //! Kinds of requests of users, workers and health checks, by the path of the request.
 
+use crate::protocol::users::{HEALTH_PATH, HEARTBEAT_PATH};
 use std::fmt;
 
-/// Path of the health check.
-pub const HEALTH_PATH: &str = "/up";
-/// Path of the workers' heartbeats.
-const HEARTBEAT_PATH: &str = "/hello";
-
 /// Kind of a request, by who sends it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RequestKind {
