--- a/src/coordination/dependencies/mod.rs
+++ b/src/coordination/dependencies/mod.rs
@@ -13,21 +13,21 @@
 //! - [`prerequisite_check`]: checking that the prerequisites of a new job were accepted;
 //! - [`traversal`]: answering a poll from the records alone;
 //! - [`requests`]: polls and cancellations of waiting jobs;
-//! - [`reported_state`]: replies about jobs with prerequisites.
+//! - [`replies`]: replies about jobs with prerequisites.
 
 mod final_record;
 mod operations;
 mod prerequisite_check;
 mod prerequisite_ends;
 mod prerequisite_parts;
-mod reported_state;
+mod replies;
 mod requests;
 mod traversal;
 mod waiting_records;
 
 pub(super) use final_record::final_record_request;
 pub(super) use operations::{DependencyOperation, WaitingRecordOperation};
-pub(super) use reported_state::DependentReplyKind;
+pub(super) use replies::DependentReplyKind;
 
 use super::controller::Controller;
 use crate::model::ShardId;
--- a/src/coordination/dependencies/requests.rs
+++ b/src/coordination/dependencies/requests.rs
@@ -4,7 +4,7 @@
 use super::super::events::Requester;
 use super::super::user_requests::LookupPurpose;
 use super::super::waiting_jobs::WaitingStatus;
-use super::reported_state::{StateSource, withdrawn_view};
+use super::replies::{StateSource, withdrawn_view};
 use crate::model::{JobId, ShardId};
 use crate::protocol::users::JobView;
 use crate::protocol::{BusyReason, Reply};
--- a/src/coordination/dependencies/traversal.rs
+++ b/src/coordination/dependencies/traversal.rs
@@ -5,7 +5,7 @@
 use super::super::events::Requester;
 use super::super::job_record_reads::{JobRecordAnswer, JobRecordKind};
 use super::operations::{DependencyOperation, DependencyTraversal, TraversalRead};
-use super::reported_state::{StateSource, withdrawn_view};
+use super::replies::{StateSource, withdrawn_view};
 use crate::coordination::state_admission::TrafficClass;
 use crate::model::{FinalState, JobId};
 use crate::protocol::state::StateResult;
@@ -45,9 +45,10 @@
 }
 
 impl Controller {
-    /// Answers a poll of a job from its live record `record`, whose read was sent at `sent_at`, from the records of its direct and indirect
-    /// prerequisites, and from the ends that this node knows. All records are read after the poll arrived. If the
-    /// prerequisites are in part records, replies "busy", since only the leader can answer.
+    /// Answers a poll of a job from its live record `record`, from the records of its direct and indirect
+    /// prerequisites, and from the ends that this node knows. The read of `record` was sent at `sent_at`, after the
+    /// poll arrived; all other records are read later. If the prerequisites are in part records, replies "busy", since
+    /// only the leader can answer.
     pub(in crate::coordination) fn traverse_dependencies(
         &mut self,
         requester: Requester,
--- a/src/coordination/final_write.rs
+++ b/src/coordination/final_write.rs
@@ -57,8 +57,8 @@
         let Some(write) = self.pending.as_mut().filter(|write| !write.is_in_doubt) else { return };
         write.is_in_doubt = true;
         log::info!(
-            "job {job}: the write of its final state {:?} in term {} of shard {} had no answer and may still be executed; \
-             not reporting the state of the job until its record is known",
+            "job {job}: the write of its final state {:?} in term {} of shard {} had no answer and may still be \
+             executed; not reporting the state of the job until its record is known",
             write.state,
             leadership.term,
             leadership.shard
--- a/src/coordination/job_persistence/end_of_job.rs
+++ b/src/coordination/job_persistence/end_of_job.rs
@@ -105,15 +105,18 @@
         match answer {
             Ok(StateAnswer::Committed(_)) => self.job_ended(shard_id, id, state),
             Err(CallError::Refused { .. }) => self.job_write_refused(shard_id, id),
-            _ => {
-                let Some(shard) = self.shards.get_mut(&shard_id) else { return };
-                let leadership = shard.leadership_term();
-                if let Some(job) = shard.jobs.get_mut(id) {
-                    job.record.final_write.unanswered(id, leadership);
-                }
-                self.job_call_unanswered(shard_id, id);
-            }
+            _ => self.final_write_unanswered(shard_id, id),
+        }
+    }
+
+    /// Handles a write of a final record that had no conclusive answer and may still be executed.
+    fn final_write_unanswered(&mut self, shard_id: ShardId, id: &JobId) {
+        let Some(shard) = self.shards.get_mut(&shard_id) else { return };
+        let leadership = shard.leadership_term();
+        if let Some(job) = shard.jobs.get_mut(id) {
+            job.record.final_write.unanswered(id, leadership);
         }
+        self.job_call_unanswered(shard_id, id);
     }
 
     /// Handles the end of a job whose final record is durable: the end may be reported to users from now on, the job is
--- a/src/coordination/reported_states.rs
+++ b/src/coordination/reported_states.rs
@@ -47,8 +47,8 @@
             return Reply::json(200, reported);
         }
         log::error!(
-            "invariant violated: job {} was about to be reported as {:?} after it was reported as {:?}; asking the client \
-             to retry",
+            "invariant violated: job {} was about to be reported as {:?} after it was reported as {:?}; asking the \
+             client to retry",
             view.id,
             view.state,
             reported.state
--- a/tests/fault_combinations/cancellations_in_doubt.rs
+++ b/tests/fault_combinations/cancellations_in_doubt.rs
@@ -47,8 +47,8 @@
 }
 
 /// Runs a simulation in which cancellations are recorded seconds late and without an answer to the leader, and further
-/// attempts to record them are refused. Checks that the leader reports no dependent as live once the cancellation of its
-/// prerequisite is recorded. Returns the number of dependents for which that was checked.
+/// attempts to record them are refused. Checks that the leader reports no dependent as live once the cancellation of
+/// its prerequisite is recorded. Returns the number of dependents for which that was checked.
 fn check_answers_about_dependents(seed: u64, dependents_submitted_at: u64) -> usize {
     let (mut simulation, dependents) = start_with_cancellations_in_doubt(seed, dependents_submitted_at);
     let (node, until) = (simulation.current_leader(), simulation.now + 12 * SEC);
--- a/tests/fault_combinations/pipelines.rs
+++ b/tests/fault_combinations/pipelines.rs
@@ -97,8 +97,8 @@
     }
 }
 
-/// Adds a dependent, sometimes of another team, that is submitted at all controllers at a random time after `from`, and polled at all of them
-/// afterwards. Returns the index of its user.
+/// Adds a dependent, sometimes of another team, that is submitted at all controllers at a random time after `from`, and
+/// polled at all of them afterwards. Returns the index of its user.
 fn add_dependent(simulation: &mut Simulation, job: usize, from: u64, delay: Range<u64>) -> usize {
     let id = next_job_id(simulation);
     let submit_at = from + simulation.rng.random_range(delay);
--- a/tests/simulation/users.rs
+++ b/tests/simulation/users.rs
@@ -138,8 +138,8 @@
         }
     }
 
-    /// Returns the jobs that were not reported as done, except services, jobs that run for more than a minute, cancelled
-    /// ones, and those whose prerequisites were cancelled.
+    /// Returns the jobs that were not reported as done, except services, jobs that run for more than a minute,
+    /// cancelled ones, and those whose prerequisites were cancelled.
     pub fn unfinished_jobs(&self) -> Vec<&JobId> {
         let unfinished = (0..self.users.len()).filter(|index| {
             let user = &self.users[*index];
