--- a/review/standin/cloud_workers.py
+++ b/review/standin/cloud_workers.py
@@ -79,13 +79,14 @@
     async def start(self, boot_s):
         port, self.server = await http_io.serve(self.handle)
         self.endpoint = f"127.0.0.1:{port}"
-        self.loop_task = asyncio.create_task(self.run(boot_s))
+        self.loops = [asyncio.create_task(self.run(boot_s)), asyncio.create_task(self.watch_lease(boot_s))]
 
     def take_away(self):
         self.up = False
         self.kill_tasks("the machine is gone")
         self.server.close()
-        self.loop_task.cancel()
+        for loop in self.loops:
+            loop.cancel()
 
     def report(self):
         self.caw += 1
@@ -150,7 +151,8 @@
         self.rig.task_on(self.name, *key)
         self.wake.set()
         if job["gait"] == "sweep":
-            await asyncio.sleep(job["run_s"])
+            # A number of seconds, or an event that the test sets when the task is over.
+            await (job["run_s"].wait() if isinstance(job["run_s"], asyncio.Event) else asyncio.sleep(job["run_s"]))
             self.tasks[key]["timer"] = None
             self.end_task(key, "done")
             self.rig.task_done(key[0])
@@ -164,23 +166,29 @@
         task.update(mood="ended", cause=cause, timer=None)
         self.wake.set()
 
-    async def run(self, boot_s):
+    async def watch_lease(self, boot_s):
+        """Ends the session when the last answered report was sent more than `lease_s` ago, also while a report waits
+        for its answer."""
         await asyncio.sleep(boot_s)
-        lease_s, report_s = self.rig.lease_s, self.rig.report_s
-        lease_from = time.monotonic()
+        self.lease_from = time.monotonic()
         while self.up:
-            sent = time.monotonic()
-            if sent - lease_from > lease_s:
+            await asyncio.sleep(0.02)
+            if time.monotonic() - self.lease_from > self.rig.lease_s:
                 self.kill_tasks("the worker's lease ended")
-                self.sitting, lease_from = self.sitting + 1, sent
-            sitting = self.sitting
+                self.sitting, self.lease_from = self.sitting + 1, time.monotonic()
+                self.wake.set()
+
+    async def run(self, boot_s):
+        await asyncio.sleep(boot_s)
+        report_s = self.rig.report_s
+        while self.up:
+            sent, sitting = time.monotonic(), self.sitting
             answer = await self.send(self.report())
             pause = random.uniform(0.75, 1.25) * report_s
             if answer is not None and answer[0] == 200:
                 crest = (answer[1] or {}).get("crest")
-                if crest is not None and crest >= self.crest and sitting == self.sitting \
-                        and sent + lease_s > time.monotonic():
-                    lease_from = sent
+                if crest is not None and crest >= self.crest and sitting == self.sitting:
+                    self.lease_from = sent
                     self.crest = crest
                     self.execute(answer[1].get("calls") or [])
             elif answer is not None and answer[0] == 421 and self.rig.index((answer[1] or {}).get("rookery"), self.node) is not None:
--- a/review/standin/rig.py
+++ b/review/standin/rig.py
@@ -156,7 +156,8 @@
 class Rig:
     """The deployment. `jobs` holds what users submitted, by id; `accepted` when which answer was given first."""
 
-    def __init__(self, folder, with_links=False):
+    def __init__(self, folder, with_links=False, settings=SETTINGS):
+        self.settings = settings
         self.record = open(Path(folder) / "record.txt", "w", encoding="utf-8")
         self.started = time.monotonic()
         self.report_s, self.lease_s = 2.0, 10.0
@@ -225,7 +226,7 @@
                 f'\n[[peers]]\nlabel = "{other.label}"\narea = "{AREAS[other.index]}"\n'
                 f'peer_addr = "127.0.0.1:{self.peer_port(node, other)}"\n'
                 for other in self.nodes if other is not node)
-            text = SETTINGS.format(label=node.label, area=AREAS[node.index], front=node.front, peer=node.peer,
+            text = self.settings.format(label=node.label, area=AREAS[node.index], front=node.front, peer=node.peer,
                                    peers=peers, cloud=cloud_port, state=node.state)
             node.settings = self.tmp / f"{node.label}.toml"
             node.settings.write_text(text)
@@ -279,7 +280,7 @@
         body = {"id": f"wk-{number:06d}", "brood": "similarity-sweep" if gait == "sweep" else "intake-portal",
                 "flock": "textcheck-desk-00", "gait": gait, "pecking": "normal", "clutch": tasks, "cores": 1.0,
                 "gpus": 0.0, "ram_gb": 1.0, "plumage": "img-01", "image_gb": 0.2, "breeds": None, "roost": None,
-                "together": False, "spread": False, "scavenged": False, "flight_s": run_s if gait == "sweep" else 0.0,
+                "together": False, "spread": False, "scavenged": False, "flight_s": run_s if gait == "sweep" and isinstance(run_s, float) else 20.0 * (gait == "sweep"),
                 "cache_s": 0.0, "stash_s": 0.0, "dusk_s": None, **fields}
         self.jobs[body["id"]] = {"clutch": tasks, "run_s": run_s, "gait": gait}
         return body
@@ -293,16 +294,17 @@
         self.note(f"user -> {node.label} at {sent:.3f}: {method} {path} -> {answer}")
         return answer
 
-    async def submit(self, body, nodes=None, limit=60.0):
-        """Submits a job as a user does, with repeats at the next node. Returns the answer that accepted it, or None."""
+    async def submit(self, body, nodes=None, limit=60.0, pauses=()):
+        """Submits a job as a user does, with repeats at the next node, each 1 s after the answer or after the next of
+        `pauses`. Returns the answer that accepted or refused it, or None."""
         ends, tried = time.monotonic() + limit, 0
         nodes = nodes or self.nodes
         while time.monotonic() < ends:
             answer = await self.ask(nodes[tried % len(nodes)], "POST", "/v1/jobs", body, timeout=5.0)
             if answer is not None and answer[0] in (200, 201, 400, 422):
                 return answer
+            await asyncio.sleep(pauses[tried] if tried < len(pauses) else 1.0)
             tried += 1
-            await asyncio.sleep(1.0)
         return None
 
     def close(self):
@@ -325,12 +327,12 @@
     """The case could not be set up."""
 
 
-def main(folder, case, with_links=False, limit=115.0):
+def main(folder, case, with_links=False, limit=115.0, settings=SETTINGS):
     """Runs a case. `case(rig, trouble)` plays it. Exits with 1 if a rule was broken, 0 if not, 2 if it could not run."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def play():
-        rig = Rig(folder, with_links)
+        rig = Rig(folder, with_links, settings)
         try:
             await asyncio.wait_for(case(rig, trouble), limit)
         except (CannotRun, asyncio.TimeoutError, OSError) as error:
