review: case 3, a waiting job is not answered about after a crash of the leader

The new leader must list final records before it knows the state of a job with part records. That read has no guaranteed share of the requests, and polls of such a job are refused without a read.

--- a/review/standin/rig.py
+++ b/review/standin/rig.py
@@ -209,8 +209,10 @@
     def front_for_worker(self, node):
         return self.nodes[node].front
 
-    async def start(self, **cloud):
-        self.state = StateService(250.0, 20.0, 4.0, 8)
+    async def start(self, state=(250.0, 20.0, 4.0, 8), **cloud):
+        """Starts the stand-ins and the controllers. `state`: the limits of the state service, as in the settings;
+        `cloud`: the arguments of the cloud."""
+        self.state = StateService(*state)
         self.cloud = Cloud(self, **cloud)
         cloud_port = await self.cloud.start()
         for sender in self.nodes:
