Log answers that match no forwarded request, and lease renewals that stop no tasks

Change: counters in the minute's line of replies (unexpected answers by kind, renewals without stops), a warning for an answer about another job than the one asked about, an info line for each renewal that leaves tasks of ended jobs. Behaviour is unchanged.

--- a/src/coordination/forwarding.rs
+++ b/src/coordination/forwarding.rs
@@ -8,6 +8,7 @@
 use crate::protocol::{BusyReason, Reply, workers};
 use crate::time::{Span, Time};
 use std::collections::BTreeMap;
+use std::fmt;
 
 /// Time within which another controller must answer a forwarded request.
 const FORWARD_TIMEOUT: Span = Span::millis(1500);
@@ -69,6 +70,24 @@
     }
 }
 
+/// What is unexpected about an answer of another controller to a forwarded request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum UnexpectedAnswer {
+    /// No request with the answer's number waits for an answer: it has timed out, or was sent by another process.
+    NoRequest,
+    /// The answer reports the state of another job than the one that the request is about.
+    OtherJob,
+}
+
+impl fmt::Display for UnexpectedAnswer {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            UnexpectedAnswer::NoRequest => "no request waits for it",
+            UnexpectedAnswer::OtherJob => "about another job",
+        })
+    }
+}
+
 impl Controller {
     /// Forwards a request of a client of this node to the leader of a shard. Refuses requests of other controllers, so
     /// that no request is forwarded twice.
@@ -107,7 +126,10 @@
     /// Passes the leader's reply to a forwarded request to the client. If the leader is not able to answer a submission
     /// or a poll (status 503), this node tries to accept the job itself or reads the job's record instead.
     pub(super) fn forwarded_request_answered(&mut self, number: u64, reply: Reply) {
-        let Some(forwarded) = self.forwarded.pending.remove(&number) else { return };
+        let Some(forwarded) = self.forwarded.pending.remove(&number) else {
+            log::debug!("answer with status {} to request {number}: no request waits for it", reply.status);
+            return self.statistics.record_unexpected_answer(UnexpectedAnswer::NoRequest);
+        };
         let requester = Requester::Local(forwarded.client_request);
         match forwarded.kind {
             ForwardedKind::Submission(spec) if reply.status == 503 => self.accept_without_leader(requester, *spec),
--- a/src/coordination/reported_states.rs
+++ b/src/coordination/reported_states.rs
@@ -3,6 +3,7 @@
 use super::controller::Controller;
 use super::directory::ReportedEnd;
 use super::events::Requester;
+use super::forwarding::UnexpectedAnswer;
 use super::user_requests::{final_view, live_state};
 use super::waiting_jobs::WaitingStatus;
 use crate::model::JobId;
@@ -26,7 +27,12 @@
         }
         match serde_json::from_str::<JobView>(&reply.body) {
             Ok(view) if view.id == *job => self.reply_unless_contradicted(&view, reply, sent_at),
-            _ => reply,
+            Ok(view) => {
+                log::warn!("job {job}: the answer to a request about it reports the state of job {}", view.id);
+                self.statistics.record_unexpected_answer(UnexpectedAnswer::OtherJob);
+                reply
+            }
+            Err(_) => reply,
         }
     }
 
--- a/src/coordination/request_statistics.rs
+++ b/src/coordination/request_statistics.rs
@@ -2,6 +2,7 @@
 
 use super::controller::Controller;
 use super::dependencies::DependentReplyKind;
+use super::forwarding::UnexpectedAnswer;
 use super::placement::PreemptionRound;
 use crate::protocol::{BusyReason, Reply};
 use crate::time::{Span, Time};
@@ -24,6 +25,11 @@
     busy_replies: BTreeMap<BusyReason, u64>,
     /// Number of replies about jobs with prerequisites, by reported state and the knowledge it was derived from.
     dependent_replies: BTreeMap<DependentReplyKind, u64>,
+    /// Number of answers of other controllers to forwarded requests, by what is unexpected about them.
+    unexpected_answers: BTreeMap<UnexpectedAnswer, u64>,
+    /// Number of answers that renewed a worker lease although the heartbeat listed tasks of ended jobs that the answer
+    /// did not stop.
+    renewals_without_stops: u64,
     /// Times from sending a call to the state service to its answer or failure, in milliseconds.
     state_latencies: Histogram<u32>,
     /// Longest interval between two ticks.
@@ -45,6 +51,8 @@
             replies: BTreeMap::new(),
             busy_replies: BTreeMap::new(),
             dependent_replies: BTreeMap::new(),
+            unexpected_answers: BTreeMap::new(),
+            renewals_without_stops: 0,
             state_latencies,
             longest_tick_interval: Span::ZERO,
             preemption_inspections: 0,
@@ -66,6 +74,16 @@
         *self.dependent_replies.entry(kind).or_default() += 1;
     }
 
+    /// Counts an unexpected answer of another controller to a forwarded request.
+    pub fn record_unexpected_answer(&mut self, kind: UnexpectedAnswer) {
+        *self.unexpected_answers.entry(kind).or_default() += 1;
+    }
+
+    /// Counts an answer that renewed a worker lease without stopping all listed tasks of ended jobs.
+    pub fn record_renewal_without_stops(&mut self) {
+        self.renewals_without_stops += 1;
+    }
+
     /// Records the latency of a call to the state service.
     pub fn record_state_latency(&mut self, latency: Span) {
         self.state_latencies.saturating_record(latency.as_millis());
@@ -90,12 +108,15 @@
         if !self.replies.is_empty() {
             log::info!(
                 "replies in the last minute, by status: {}; replies to be retried, by reason: {}; replies about jobs \
-                 with prerequisites: {}; latency of the state service: median {} ms, p99 {} ms, maximum {} ms of {} \
+                 with prerequisites: {}; unexpected answers to forwarded requests: {}; worker leases renewed without \
+                 stopping all tasks of ended jobs: {}; latency of the state service: median {} ms, p99 {} ms, maximum {} ms of {} \
                  calls; longest interval between ticks: {} ms; machines and attempts inspected in search of room for \
                  waiting tasks: {}; rounds of preemption ended at their limit: {}",
                 format_counts(&self.replies),
                 format_counts(&self.busy_replies),
                 format_counts(&self.dependent_replies),
+                format_counts(&self.unexpected_answers),
+                self.renewals_without_stops,
                 self.state_latencies.value_at_quantile(0.5),
                 self.state_latencies.value_at_quantile(0.99),
                 self.state_latencies.max(),
--- a/src/coordination/worker_heartbeats/serving.rs
+++ b/src/coordination/worker_heartbeats/serving.rs
@@ -5,7 +5,7 @@
 use super::super::events::Requester;
 use super::super::placement::PlacementContext;
 use super::super::shard::{Attempt, EarlyHeartbeat, HeartbeatNumber, Job, Machine};
-use crate::model::{AttemptNumber, JobId, MachineId, ShardId};
+use crate::model::{AttemptNumber, FinalState, JobId, MachineId, ShardId};
 use crate::protocol::workers::{self, Command, TaskState, WorkerHeartbeat};
 use crate::protocol::{BusyReason, Reply};
 use crate::time::{Span, Time};
@@ -52,7 +52,10 @@
         let is_relayed = matches!(requester, Requester::Peer { .. });
         let token = machine.token;
         match machine.record_heartbeat(&heartbeat, is_relayed, now, worker_lease) {
-            TaskListValidity::Outdated => return self.reply(requester, workers::accepted(token, &[])),
+            TaskListValidity::Outdated => {
+                self.log_unstopped_tasks(shard_id, &heartbeat);
+                return self.reply(requester, workers::accepted(token, &[]));
+            }
             TaskListValidity::Current => {}
         }
         shard.apply_heartbeat(&heartbeat, now);
@@ -62,6 +65,28 @@
         self.finish_jobs(shard_id);
     }
 
+    /// Logs and counts an answer that renews a worker lease without stopping the tasks of ended jobs that the heartbeat
+    /// lists.
+    fn log_unstopped_tasks(&mut self, shard_id: ShardId, heartbeat: &WorkerHeartbeat) {
+        let Some(shard) = self.shards.get(&shard_id) else { return };
+        let unstopped = heartbeat.tasks.iter().filter(|status| {
+            let is_over = matches!(status.state, TaskState::Exited(_));
+            !is_over && shard.jobs.get(&status.task.job).is_none_or(|job| job.ending == Some(FinalState::Cancelled))
+        });
+        let unstopped = unstopped.count();
+        if unstopped > 0 {
+            log::info!(
+                "machine {}: answered an outdated heartbeat (epoch {}, number {}, token {}), which renews the worker \
+                 lease without stopping {unstopped} listed tasks of ended jobs",
+                heartbeat.machine,
+                heartbeat.epoch.0,
+                heartbeat.seq.0,
+                heartbeat.token.0
+            );
+            self.statistics.record_renewal_without_stops();
+        }
+    }
+
     /// Returns `true` if tasks may be started on a machine.
     ///
     /// Without a valid leader lease, tasks are started only if the property recovery.hold-on is set, only while worker
