Match answers to forwarded requests by a number that no other process uses

Accepted jobs got 404 (forgotten), unknown jobs 200 (invented), running services were called done (not_done), and submissions were taken as accepted that were recorded nowhere.

Cause: forwarded requests were numbered from 1 in every process, and an answer carries the number alone. When the link is released, the leader answers the requests of the former process; the next process took the answers for those to its own requests. Class: an answer is matched to a request by an identity that is narrower than the answer's lifetime.

Change: the numbers of a process begin at its random incarnation. One place decides (ForwardedRequests::take_answered), by number and by the controller that was asked. At run time an answer must name the job that was asked about; otherwise the error is counted and the request handled as if unanswered. The simulation gets held links, and its checker compares the job that an answer names.

Why this works: no number of a former process is pending in the present one.

--- a/src/coordination/controller.rs
+++ b/src/coordination/controller.rs
@@ -49,7 +49,7 @@
 pub struct Controller {
     /// Settings of the platform, and properties set by the operators.
     pub(super) settings: Settings,
-    /// Number that distinguishes this process from earlier and later processes of the same node label.
+    /// Random number that distinguishes this process from earlier and later processes of the same node label.
     pub(super) incarnation: u64,
     /// Start time of this process.
     pub(super) started: Time,
@@ -98,8 +98,8 @@
 }
 
 impl Controller {
-    /// Creates a controller that leads no shard yet. `incarnation` must differ from that of every other process of the
-    /// same node label.
+    /// Creates a controller that leads no shard yet. `incarnation` must be drawn at random from all 64-bit numbers, so
+    /// that it differs from that of every other process of the same node label.
     pub fn new(settings: Settings, incarnation: u64, clock: Clock) -> Controller {
         let now = clock.steady;
         let shards = settings.shards as usize;
@@ -117,7 +117,7 @@
             replica: Replica::new(&settings),
             shards: BTreeMap::new(),
             recoveries: RecoveryLog::new(now),
-            forwarded: ForwardedRequests::default(),
+            forwarded: ForwardedRequests::new(incarnation),
             user_requests: UserRequests::default(),
             directory: Directory::new(settings.properties.ended_jobs_kept),
             registrations: Registrations::default(),
@@ -368,7 +368,7 @@
             PeerMessage::ClientRequest { number, shard, client_request } => {
                 self.handle_forwarded_request(Requester::Peer { node: from, number }, shard, client_request);
             }
-            PeerMessage::Answer { number, reply } => self.forwarded_request_answered(number, reply),
+            PeerMessage::Answer { number, reply } => self.forwarded_request_answered(&from, number, reply),
         }
     }
 
--- a/src/coordination/events.rs
+++ b/src/coordination/events.rs
@@ -3,7 +3,7 @@
 
 use crate::model::NodeLabel;
 use crate::protocol::cloud::{CloudAnswer, CloudCall};
-use crate::protocol::peers::{Envelope, PeerMessage};
+use crate::protocol::peers::{Envelope, ForwardNumber, PeerMessage};
 use crate::protocol::state::StateCall;
 use crate::protocol::state::StateResult;
 use crate::protocol::users::ClientRequest;
@@ -132,5 +132,5 @@
     /// Client that is connected to this node.
     Local(ClientRequestId),
     /// Controller that forwarded the request of one of its clients under the given number.
-    Peer { node: NodeLabel, number: u64 },
+    Peer { node: NodeLabel, number: ForwardNumber },
 }
--- a/src/coordination/reported_states.rs
+++ b/src/coordination/reported_states.rs
@@ -20,20 +20,24 @@
     }
 
     /// Returns the reply to pass on to a client after the leader of a job's shard has answered a request that was
-    /// forwarded at `sent_at`.
-    pub(super) fn checked_leader_reply(&mut self, job: &JobId, reply: Reply, sent_at: Time) -> Reply {
+    /// forwarded at `sent_at`. Returns `None` if the reply reports the state of another job: the error is logged and
+    /// counted.
+    pub(super) fn checked_leader_reply(&mut self, job: &JobId, reply: Reply, sent_at: Time) -> Option<Reply> {
         if !matches!(reply.status, 200 | 201) {
-            return reply;
+            return Some(reply);
         }
-        match serde_json::from_str::<JobView>(&reply.body) {
-            Ok(view) if view.id == *job => self.reply_unless_contradicted(&view, reply, sent_at),
-            Ok(view) => {
-                log::warn!("job {job}: the answer to a request about it reports the state of job {}", view.id);
-                self.statistics.record_unexpected_answer(UnexpectedAnswer::OtherJob);
-                reply
-            }
-            Err(_) => reply,
+        let Ok(view) = serde_json::from_str::<JobView>(&reply.body) else { return Some(reply) };
+        if view.id == *job {
+            return Some(self.reply_unless_contradicted(&view, reply, sent_at));
         }
+        log::error!(
+            "invariant violated: job {job}: the leader's answer to a request about it reports the state of job {}; \
+             ignoring the answer",
+            view.id
+        );
+        self.calls.record_invariant_violation();
+        self.statistics.record_unexpected_answer(UnexpectedAnswer::OtherJob);
+        None
     }
 
     /// Returns `reply`, which reports `view`, unless this node has reported another state as final. If it did so after
--- a/src/protocol/peers.rs
+++ b/src/protocol/peers.rs
@@ -18,6 +18,12 @@
 /// Maximum nesting depth of the values in a received message.
 const MAX_NESTING: usize = 16;
 
+/// Number of a forwarded request, which its answer repeats. Unique among all processes that have ever run under the
+/// sender's node label, since an answer may arrive after the process that sent the request has been replaced.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct ForwardNumber(pub u64);
+
 /// Content of a frame on a connection between controllers.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Envelope {
@@ -66,7 +72,7 @@
     #[serde(rename = "Ask")]
     ClientRequest {
         /// Number that identifies the request in the [`PeerMessage::Answer`].
-        number: u64,
+        number: ForwardNumber,
         /// Shard that the request concerns.
         shard: ShardId,
         /// Forwarded request.
@@ -76,7 +82,7 @@
     /// Reply to a forwarded request.
     Answer {
         /// Number of the request.
-        number: u64,
+        number: ForwardNumber,
         /// Reply for the user or worker.
         reply: Reply,
     },
--- a/tests/compatibility/samples.rs
+++ b/tests/compatibility/samples.rs
@@ -3,7 +3,7 @@
 
 use crowstall::model::*;
 use crowstall::protocol::cloud::CloudCall;
-use crowstall::protocol::peers::{ForwardedRequest, MachineOffer, PeerMessage};
+use crowstall::protocol::peers::{ForwardNumber, ForwardedRequest, MachineOffer, PeerMessage};
 use crowstall::protocol::state::{Change, Condition, StateCall};
 use crowstall::protocol::users::{
     ForecastAccuracy, ForecastView, Interval, JobState, JobView, PromiseView, TaskForecast,
@@ -202,7 +202,7 @@
 }
 
 fn forwarded(client_request: ForwardedRequest) -> PeerMessage {
-    PeerMessage::ClientRequest { number: 59, shard: ShardId(2), client_request }
+    PeerMessage::ClientRequest { number: ForwardNumber(59), shard: ShardId(2), client_request }
 }
 
 fn visit_common_messages(visitor: &mut impl SampleVisitor) {
@@ -214,9 +214,10 @@
     visitor.message("Ask.Cancel", forwarded(ForwardedRequest::Cancel(job.clone())));
     visitor.message("Ask.Forecast", forwarded(ForwardedRequest::Forecast(job)));
     visitor.message("Ask.Report", forwarded(ForwardedRequest::WorkerHeartbeat(Box::new(worker_heartbeat()))));
-    visitor.message("Answer", PeerMessage::Answer { number: 72, reply: Reply::error(404, "no such job") });
+    visitor
+        .message("Answer", PeerMessage::Answer { number: ForwardNumber(72), reply: Reply::error(404, "no such job") });
     let busy = Reply { busy_reason: None, ..Reply::busy(BusyReason::NotLeader) };
-    visitor.message("Answer.busy", PeerMessage::Answer { number: 73, reply: busy });
+    visitor.message("Answer.busy", PeerMessage::Answer { number: ForwardNumber(73), reply: busy });
     visitor.message("Released", PeerMessage::Released { shard: ShardId(1) });
     visitor.message("Take", PeerMessage::RequestMachine { machine: machine.clone(), shard: ShardId(1) });
     visitor.message("Moved", PeerMessage::MachineTransferred { machine, shard: ShardId(0) });
--- a/tests/fault_combinations/main.rs
+++ b/tests/fault_combinations/main.rs
@@ -6,6 +6,7 @@
 mod combinations;
 mod controller_failures;
 mod disabled_safeguards;
+mod former_processes;
 mod machine_failures;
 mod network_failures;
 mod pipelines;
--- a/tests/fault_combinations/reported_states.rs
+++ b/tests/fault_combinations/reported_states.rs
@@ -5,7 +5,7 @@
 use crowstall::coordination::{Action, ClientRequestId, Event};
 use crowstall::model::*;
 use crowstall::protocol::Reply;
-use crowstall::protocol::peers::{Envelope, PeerMessage};
+use crowstall::protocol::peers::{Envelope, ForwardNumber, PeerMessage};
 use crowstall::protocol::users::{ClientRequest, JobState, JobView};
 
 /// Number of the client request that is forwarded to the leader.
@@ -41,7 +41,7 @@
     }
 
     /// Polls the job at the other controller, which forwards the request. Returns the number of the forwarded request.
-    fn forward_poll(&mut self) -> u64 {
+    fn forward_poll(&mut self) -> ForwardNumber {
         let event =
             Event::ClientRequest { id: FORWARDED_REQUEST, client_request: ClientRequest::Poll(self.job.clone()) };
         let actions = self.simulation.actions_of(self.other, event);
@@ -53,16 +53,21 @@
     }
 
     /// Delivers an answer of the leader that reports the job as running. Returns the reply to the client.
-    fn answer_running(&mut self, number: u64) -> Reply {
+    fn answer_running(&mut self, number: ForwardNumber) -> Reply {
         let reply = Reply::json(200, &JobView::new(&self.job, JobState::Running, 0, 1));
-        let message = PeerMessage::Answer { number, reply };
-        let event = Event::Peer(Envelope { from: self.leader.clone(), message });
-        let reply = self.simulation.actions_of(self.other, event).into_iter().find_map(|action| match action {
+        let reply = self.answer(number, reply).into_iter().find_map(|action| match action {
             Action::Reply { id: FORWARDED_REQUEST, reply } => Some(reply),
             _ => None,
         });
         reply.expect("the client gets a reply")
     }
+
+    /// Delivers an answer of the leader. Returns the resulting actions.
+    fn answer(&mut self, number: ForwardNumber, reply: Reply) -> Vec<Action> {
+        let message = PeerMessage::Answer { number, reply };
+        let event = Event::Peer(Envelope { from: self.leader.clone(), message });
+        self.simulation.actions_of(self.other, event)
+    }
 }
 
 /// Guards against passing on a leader's answer that contradicts a final state reported before the question came.
@@ -85,3 +90,16 @@
     assert!(reply.status == 200 && reply.body.contains("\"done\""), "{}", reply.body);
     assert_eq!(done.simulation.invariant_violations(done.other), 0);
 }
+
+/// Guards against passing on the state of a job that the client has not asked about.
+#[test]
+fn state_of_another_job_is_not_passed_on() {
+    let mut done = DoneJob::new(3);
+    let number = done.forward_poll();
+    let reply = Reply::json(200, &JobView::new(&JobId::new("wk-999999"), JobState::Running, 0, 1));
+    let actions = done.answer(number, reply);
+    let is_reply = |action: &Action| matches!(action, Action::Reply { .. });
+    assert!(!actions.iter().any(is_reply), "the foreign answer led to {actions:?}");
+    assert!(actions.iter().any(|action| matches!(action, Action::State { .. })), "the job's record is not read");
+    assert_eq!(done.simulation.invariant_violations(done.other), 1);
+}
--- a/tests/simulation/checker.rs
+++ b/tests/simulation/checker.rs
@@ -36,6 +36,8 @@
     /// No controller reports an older state of a job than one that its user has already been told, or a cancellation
     /// that was not requested.
     StaleAnswer,
+    /// Every answer with a job's state is about the job that the user asked about.
+    OtherJob,
     /// Every controller knows an accepted job, and its user gets answers once the faults are over.
     LostJob,
     /// A job is reported as done only after all of its tasks were completed.
@@ -58,6 +60,7 @@
             Rule::Starvation => "idle",
             Rule::UnknownJob => "invented",
             Rule::StaleAnswer => "went_back",
+            Rule::OtherJob => "other_job",
             Rule::LostJob => "forgotten",
             Rule::PrematureDone => "not_done",
             Rule::LiveAfterPrerequisiteCancelled => "orphaned",
--- a/tests/simulation/network.rs
+++ b/tests/simulation/network.rs
@@ -57,6 +57,18 @@
     }
 }
 
+/// One direction of the network between two endpoints, on which packets are held back. They are delivered in the order
+/// in which they were sent once the link is released, even if the process of either end has been replaced meanwhile.
+#[derive(Clone, Copy, Debug)]
+pub struct HeldLink {
+    pub from: Endpoint,
+    pub to: Endpoint,
+    /// Time at which the link is released.
+    pub until: u64,
+    /// Number of packets that were held back so far.
+    pub packets: u64,
+}
+
 /// Fault that delays packets from and to an endpoint.
 pub struct SlowLink {
     /// Endpoint whose packets are delayed.
@@ -90,9 +102,20 @@
                 arrival = arrival.max(partition.until + self.rng.random_range(0..20 * MS));
             }
         }
+        for link in &mut self.held_links {
+            if link.until > self.now && link.from == from && link.to == to {
+                link.packets += 1;
+                arrival = arrival.max(link.until + link.packets);
+            }
+        }
         Some(arrival)
     }
 
+    /// Holds back the packets from one endpoint to another until the given time.
+    pub fn hold_link(&mut self, from: Endpoint, to: Endpoint, until: u64) {
+        self.held_links.push(HeldLink { from, to, until, packets: 0 });
+    }
+
     /// Separates one endpoint from each of the others.
     pub fn partition(
         &mut self,
--- a/tests/simulation/user_answers.rs
+++ b/tests/simulation/user_answers.rs
@@ -37,6 +37,7 @@
             self.schedule_consistency_checks(index, true);
         }
         let body: serde_json::Value = serde_json::from_str(&reply.body).unwrap_or_default();
+        self.check_reported_job(index, &body);
         self.check_reported_state(index, sent_at, body["mood"].as_str().unwrap_or_default());
     }
 
@@ -60,6 +61,15 @@
         false
     }
 
+    /// Checks that an answer is about the job that the user asked about.
+    fn check_reported_job(&mut self, index: usize, body: &serde_json::Value) {
+        let job = &self.users[index].spec.id;
+        if body["id"].as_str() != Some(job.as_str()) {
+            let detail = format!("a request about job {job} got the answer {body}");
+            self.record_violation(Rule::OtherJob, detail);
+        }
+    }
+
     /// Checks the state reported to a user and records it.
     fn check_reported_state(&mut self, index: usize, sent_at: u64, state: &str) {
         let user = &self.users[index];
--- a/tests/simulation/user_requests.rs
+++ b/tests/simulation/user_requests.rs
@@ -104,6 +104,17 @@
         Some((UserRequest::Poll, if is_over { 9 * SEC } else { 3 * SEC } / speed))
     }
 
+    /// Makes users poll one controller in turn, one request every `interval`, for `duration` from `start` on. One poll
+    /// in three asks about a job that was not submitted.
+    pub fn poll_steadily(&mut self, node: usize, start: u64, duration: u64, interval: u64) {
+        let users = self.users.len();
+        for number in 0..(duration / interval) as usize {
+            let request = if number % 3 == 0 { UserRequest::PollUnknownJob } else { UserRequest::Poll };
+            let event = ScheduledEvent::UserRequest { user: number % users, node, request };
+            self.schedule(start + number as u64 * interval, event);
+        }
+    }
+
     fn random_running_controller(&mut self) -> Option<usize> {
         let running = self.running_controllers();
         (!running.is_empty()).then(|| running[self.rng.random_range(0..running.len())])
