Stop the tasks of ended jobs in every answer that renews a worker lease

Cause: the answer to a heartbeat that is older than the new leader's token, or than the answer to a direct call, was 200 without commands. It renewed the lease of machines with cancelled tasks; the stop would have come with the second answer, which a second cut kept from them. The bound of a cancellation counts on every renewing answer to stop them. Class: a bound rests on a property that only the usual one of several paths has.

Change: renew_worker_lease is the only place that gives such answers. Each stops every attempt of an ended job that the heartbeat lists or that is known on the machine, before all other commands. If they are more than one answer can hold, they are stopped by direct calls and the heartbeat is refused. At run time an answer that lacks one of the stops is not given, logged and counted. The simulation gets partitions in one direction in place of held links.

Why this works: once a leader knows of a cancellation, a worker whose lease it or a later leader renews runs no task of the job; all other leases end within the bound as before.

--- a/crates/leadership/src/cancellation.rs
+++ b/crates/leadership/src/cancellation.rs
@@ -24,8 +24,9 @@
 /// cancellation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LeaseSource {
-    /// Only the leader that recorded the cancellation, or sent the write and may have received no answer. Its replies
-    /// that renew worker leases also stop the job's tasks, so a machine whose lease is renewed later runs none of them.
+    /// Only the leader that recorded the cancellation, or sent the write and may have received no answer, and leaders
+    /// after it. Each of their replies that renews a worker lease also stops the job's tasks, to outdated heartbeats
+    /// too, so a machine whose lease is renewed later runs none of them.
     Leader,
     /// A former leader in its grace period. Its leader lease has ended: a node that replaced it early has waited for
     /// the end of that lease ([`crate::LeadershipOverlap`]), and a shard that was released, or whose leader's node
--- a/src/coordination/worker_heartbeats/direct_calls.rs
+++ b/src/coordination/worker_heartbeats/direct_calls.rs
@@ -103,6 +103,15 @@
         self.send_direct_calls(shard_id, calls);
     }
 
+    /// Sends commands to one machine, in as many direct calls as they need.
+    pub(super) fn stop_directly(&mut self, shard_id: ShardId, machine_id: &MachineId, commands: Vec<Command>) {
+        let machine = self.shards.get(&shard_id).and_then(|shard| shard.machines.get(machine_id));
+        let Some(machine) = machine else { return };
+        let calls = commands.chunks(workers::MAX_COMMANDS);
+        let calls = calls.map(|commands| DirectCall::new(machine_id, machine, commands.to_vec())).collect();
+        self.send_direct_calls(shard_id, calls);
+    }
+
     /// Chooses tasks to preempt and stops them with direct calls, without waiting for the next heartbeats.
     pub(super) fn preempt_tasks(&mut self, shard_id: ShardId) {
         if !self.may_decide(shard_id) {
--- /dev/null
+++ b/src/coordination/worker_heartbeats/lease_renewal.rs
@@ -0,0 +1,96 @@
+//! The answers that renew worker leases.
+//!
+//! After a user is told that a job is cancelled, its tasks may remain on machines only until the worker leases that were
+//! renewed before have ended. So each answer that renews a lease has to stop all tasks on the machine whose jobs have
+//! ended, whether the heartbeat is the newest one or an outdated one. [`Controller::renew_worker_lease`] alone gives
+//! such answers.
+
+use super::super::controller::Controller;
+use super::super::events::Requester;
+use super::super::shard::{Job, Shard};
+use crate::model::{AttemptNumber, FinalState, JobId, ShardId, TaskId};
+use crate::protocol::workers::{self, Command, TaskState, WorkerHeartbeat};
+use crate::protocol::{BusyReason, Reply};
+use std::collections::{BTreeMap, HashMap};
+
+/// Attempts that the answer to a heartbeat has to stop if it renews the worker lease.
+pub(super) struct RequiredStops(BTreeMap<AttemptNumber, TaskId>);
+
+impl RequiredStops {
+    /// Returns `true` if the attempt is to be stopped.
+    pub fn contains(&self, attempt: AttemptNumber) -> bool {
+        self.0.contains_key(&attempt)
+    }
+
+    /// Returns the commands that stop the attempts at once.
+    pub fn commands(&self) -> Vec<Command> {
+        let stop = |(number, task): (&AttemptNumber, &TaskId)| Command::Stop {
+            task: task.clone(),
+            attempt: *number,
+            grace_s: 0.0,
+        };
+        self.0.iter().map(stop).collect()
+    }
+
+    /// Returns the number of attempts that the commands do not stop at once.
+    fn count_missing_in(&self, commands: &[Command]) -> usize {
+        let is_stop_of = |command: &Command, number: AttemptNumber| matches!(command, Command::Stop { attempt, grace_s: 0.0, .. } if *attempt == number);
+        self.0.keys().filter(|number| !commands.iter().any(|command| is_stop_of(command, **number))).count()
+    }
+}
+
+/// Returns `true` if tasks of a job must not run on: the job is not live, or its cancellation was requested.
+fn must_not_run(jobs: &HashMap<JobId, Job>, job: &JobId) -> bool {
+    jobs.get(job).is_none_or(|job| job.ending == Some(FinalState::Cancelled))
+}
+
+impl Shard {
+    /// Returns the attempts of jobs that have ended among those that a heartbeat lists and those that are known to be on
+    /// its machine. A listed attempt is known only if the list was applied.
+    pub(super) fn required_stops(&self, heartbeat: &WorkerHeartbeat) -> RequiredStops {
+        let is_over = |state: TaskState| matches!(state, TaskState::Exited(_));
+        let listed = heartbeat.tasks.iter().filter(|status| !is_over(status.state));
+        let listed = listed.map(|status| (status.attempt, &status.task));
+        let known = self.machines.get(&heartbeat.machine).into_iter().flat_map(|machine| &machine.attempts);
+        let known = known.filter(|(_, attempt)| !attempt.is_over());
+        let known = known.map(|(number, attempt)| (*number, &attempt.task));
+        let required = listed.chain(known).filter(|(_, task)| must_not_run(&self.jobs, &task.job));
+        RequiredStops(required.map(|(number, task)| (number, task.clone())).collect())
+    }
+}
+
+impl Controller {
+    /// Answers a heartbeat with `commands`, among them the required stops, which renews the worker lease.
+    ///
+    /// If there are more tasks to stop than one answer can hold, they are stopped by direct calls, and the heartbeat is
+    /// refused: the lease is renewed once the worker reports fewer of them.
+    pub(super) fn renew_worker_lease(
+        &mut self,
+        requester: Requester,
+        shard_id: ShardId,
+        heartbeat: &WorkerHeartbeat,
+        required: &RequiredStops,
+        commands: &[Command],
+    ) {
+        let machine = self.shards.get(&shard_id).and_then(|shard| shard.machines.get(&heartbeat.machine));
+        let Some(machine) = machine else { return };
+        if required.0.len() > workers::MAX_COMMANDS {
+            self.stop_directly(shard_id, &heartbeat.machine, required.commands());
+            return self.reply(requester, Reply::busy(BusyReason::TooManyStops));
+        }
+        let missing = required.count_missing_in(commands);
+        if missing == 0 {
+            return self.reply(requester, workers::accepted(machine.token, commands));
+        }
+        log::error!(
+            "invariant violated: machine {}: the answer to heartbeat {} of epoch {} would have renewed the worker lease \
+             without stopping {missing} tasks of ended jobs; refusing the heartbeat",
+            heartbeat.machine,
+            heartbeat.seq.0,
+            heartbeat.epoch.0
+        );
+        self.calls.record_invariant_violation();
+        self.statistics.record_renewal_without_stops();
+        self.reply(requester, Reply::busy(BusyReason::TooManyStops));
+    }
+}
--- a/src/coordination/worker_heartbeats/mod.rs
+++ b/src/coordination/worker_heartbeats/mod.rs
@@ -3,6 +3,7 @@
 
 mod direct_calls;
 mod graceful_eviction;
+mod lease_renewal;
 mod registration;
 mod serving;
 
--- a/src/coordination/worker_heartbeats/serving.rs
+++ b/src/coordination/worker_heartbeats/serving.rs
@@ -5,13 +5,15 @@
 use super::super::events::Requester;
 use super::super::placement::PlacementContext;
 use super::super::shard::{Attempt, EarlyHeartbeat, HeartbeatNumber, Job, Machine};
-use crate::model::{AttemptNumber, FinalState, JobId, MachineId, ShardId};
+use super::lease_renewal::RequiredStops;
+use crate::model::{AttemptNumber, JobId, MachineId, ShardId};
 use crate::protocol::workers::{self, Command, TaskState, WorkerHeartbeat};
 use crate::protocol::{BusyReason, Reply};
 use crate::time::{Span, Time};
 use std::collections::HashMap;
 
 /// Validity of the task list of a heartbeat.
+#[derive(Clone, Copy, PartialEq, Eq)]
 enum TaskListValidity {
     /// Older than what is known of the machine, or possibly sent before commands of a former leader were executed. It
     /// is not applied.
@@ -50,41 +52,19 @@
             return self.reply(requester, refusal);
         }
         let is_relayed = matches!(requester, Requester::Peer { .. });
-        let token = machine.token;
-        match machine.record_heartbeat(&heartbeat, is_relayed, now, worker_lease) {
-            TaskListValidity::Outdated => {
-                self.log_unstopped_tasks(shard_id, &heartbeat);
-                return self.reply(requester, workers::accepted(token, &[]));
-            }
-            TaskListValidity::Current => {}
+        let validity = machine.record_heartbeat(&heartbeat, is_relayed, now, worker_lease);
+        if validity == TaskListValidity::Current {
+            shard.apply_heartbeat(&heartbeat, now);
+            shard.mark_reconciled(&heartbeat.machine, now);
         }
-        shard.apply_heartbeat(&heartbeat, now);
-        shard.mark_reconciled(&heartbeat.machine, now);
-        let commands = self.heartbeat_commands(shard_id, &heartbeat.machine);
-        self.reply(requester, workers::accepted(token, &commands));
-        self.finish_jobs(shard_id);
-    }
-
-    /// Logs and counts an answer that renews a worker lease without stopping the tasks of ended jobs that the heartbeat
-    /// lists.
-    fn log_unstopped_tasks(&mut self, shard_id: ShardId, heartbeat: &WorkerHeartbeat) {
-        let Some(shard) = self.shards.get(&shard_id) else { return };
-        let unstopped = heartbeat.tasks.iter().filter(|status| {
-            let is_over = matches!(status.state, TaskState::Exited(_));
-            !is_over && shard.jobs.get(&status.task.job).is_none_or(|job| job.ending == Some(FinalState::Cancelled))
-        });
-        let unstopped = unstopped.count();
-        if unstopped > 0 {
-            log::info!(
-                "machine {}: answered an outdated heartbeat (epoch {}, number {}, token {}), which renews the worker \
-                 lease without stopping {unstopped} listed tasks of ended jobs",
-                heartbeat.machine,
-                heartbeat.epoch.0,
-                heartbeat.seq.0,
-                heartbeat.token.0
-            );
-            self.statistics.record_renewal_without_stops();
+        // Stopping tasks whose job has ended is always safe.
+        let required = shard.required_stops(&heartbeat);
+        let mut commands = required.commands();
+        if validity == TaskListValidity::Current {
+            self.add_heartbeat_commands(shard_id, &heartbeat.machine, &required, &mut commands);
         }
+        self.renew_worker_lease(requester, shard_id, &heartbeat, &required, &commands);
+        self.finish_jobs(shard_id);
     }
 
     /// Returns `true` if tasks may be started on a machine.
@@ -102,9 +82,14 @@
             && machine.is_some_and(|machine| machine.is_epoch_confirmed(&shard.leadership.leader_lease))
     }
 
-    /// Returns the commands for the answer to a heartbeat of the machine.
-    fn heartbeat_commands(&mut self, shard_id: ShardId, machine_id: &MachineId) -> Vec<Command> {
-        // Stopping tasks whose job has ended is always safe.
+    /// Adds to the required stops the other commands for the answer to a heartbeat whose task list was applied.
+    fn add_heartbeat_commands(
+        &mut self,
+        shard_id: ShardId,
+        machine_id: &MachineId,
+        required: &RequiredStops,
+        commands: &mut Vec<Command>,
+    ) {
         let may_start_tasks = self.may_start_tasks(shard_id, machine_id);
         let context = PlacementContext {
             settings: &self.settings,
@@ -112,17 +97,16 @@
             now: self.now,
             wall_clock_ms: self.wall_clock_ms,
         };
-        let Some(shard) = self.shards.get_mut(&shard_id) else { return Vec::new() };
+        let Some(shard) = self.shards.get_mut(&shard_id) else { return };
         shard.plan_graceful_eviction(machine_id, &context);
-        let mut commands = match shard.machines.get(machine_id) {
-            Some(machine) => machine.cleanup_commands(&shard.jobs, workers::MAX_COMMANDS),
-            None => Vec::new(),
-        };
+        if let Some(machine) = shard.machines.get(machine_id) {
+            let max_cleanups = workers::MAX_COMMANDS.saturating_sub(commands.len());
+            commands.extend(machine.cleanup_commands(&shard.jobs, required, max_cleanups));
+        }
         if may_start_tasks {
             let max_starts = workers::MAX_COMMANDS.saturating_sub(commands.len());
             commands.extend(shard.bind(machine_id, &mut self.counter, max_starts, &context));
         }
-        commands
     }
 }
 
@@ -182,9 +166,16 @@
         TaskListValidity::Current
     }
 
-    /// Returns the commands that stop attempts, and those that make the worker forget attempts that are over.
-    fn cleanup_commands(&self, jobs: &HashMap<JobId, Job>, max_commands: usize) -> Vec<Command> {
-        let commands = self.attempts.iter().filter_map(|(number, attempt)| cleanup_command(*number, attempt, jobs));
+    /// Returns the commands that stop attempts other than the required ones, and those that make the worker forget
+    /// attempts that are over.
+    fn cleanup_commands(
+        &self,
+        jobs: &HashMap<JobId, Job>,
+        required: &RequiredStops,
+        max_commands: usize,
+    ) -> Vec<Command> {
+        let others = self.attempts.iter().filter(|(number, _)| !required.contains(**number));
+        let commands = others.filter_map(|(number, attempt)| cleanup_command(*number, attempt, jobs));
         commands.take(max_commands).collect()
     }
 }
--- a/src/protocol/busy_reason.rs
+++ b/src/protocol/busy_reason.rs
@@ -67,6 +67,8 @@
     TooManySubmissions,
     /// The job's record existed when it was to be written, but was not found afterwards.
     TryAgain,
+    /// The machine has more tasks to be stopped than one answer can stop.
+    TooManyStops,
     /// The rate limit did not admit the write of the machine's record in time.
     RegistrationDelayed,
     /// The records of the job's prerequisites are being read.
@@ -110,6 +112,7 @@
             BusyReason::TooManyReads => "too many questions",
             BusyReason::TooManySubmissions => "too many submissions",
             BusyReason::TryAgain => "try again",
+            BusyReason::TooManyStops => "its tasks are being stopped",
             BusyReason::RegistrationDelayed => "waits to be recorded",
             BusyReason::LoadingPrerequisites => "the jobs that it needs are being read",
             BusyReason::TooManyPrerequisites => "it needs too many jobs to look at them all",
--- a/tests/fault_combinations/former_processes.rs
+++ b/tests/fault_combinations/former_processes.rs
@@ -1,7 +1,7 @@
 //! Tests of a controller that is restarted while the requests that its former process has forwarded wait for an answer.
 
 use crate::simulation::users::spec;
-use crate::simulation::{CONTROLLERS, Endpoint, FOREVER, MS, SEC, Simulation};
+use crate::simulation::{CONTROLLERS, DELAY_PACKETS, Endpoint, FOREVER, MS, SEC, Simulation};
 use crowstall::coordination::{Action, ClientRequestId, Event};
 use crowstall::model::*;
 use crowstall::protocol::peers::{Envelope, PeerMessage};
@@ -108,7 +108,8 @@
         let leader = simulation.current_leader();
         let restarted = (leader + 1) % CONTROLLERS;
         let released_at = simulation.now + 20 * SEC;
-        simulation.hold_link(Endpoint::Controller(restarted), Endpoint::Controller(leader), released_at);
+        let (from, to) = (Endpoint::Controller(restarted), Endpoint::Controller(leader));
+        simulation.partition_one_way(from, to, released_at, DELAY_PACKETS);
         simulation.poll_steadily(restarted, simulation.now, 10 * SEC, POLL_INTERVAL);
         simulation.run_for(10 * SEC);
         simulation.crash(restarted, SEC);
@@ -118,7 +119,10 @@
             simulation.add_user(spec(id, JobKind::Array, "free", 1, 1.0), 2 * SEC, submit_at, None, false);
         }
         simulation.run_until(released_at + 30 * SEC);
-        assert!(simulation.held_links[0].packets > 100, "seed {seed}: nothing was forwarded over the held link");
+        assert!(
+            simulation.one_way_partitions[0].packets > 100,
+            "seed {seed}: nothing was forwarded over the held link"
+        );
         simulation.assert_no_violations_in(format_args!("seed {seed}:"));
     }
 }
--- a/tests/fault_combinations/main.rs
+++ b/tests/fault_combinations/main.rs
@@ -2,11 +2,13 @@
 //!
 //! Each combination is injected alone and together with another one.
 
+mod brief_reconnections;
 mod cancellations_in_doubt;
 mod combinations;
 mod controller_failures;
 mod disabled_safeguards;
 mod former_processes;
+mod lease_renewals;
 mod machine_failures;
 mod network_failures;
 mod pipelines;
--- a/tests/simulation/faults.rs
+++ b/tests/simulation/faults.rs
@@ -41,7 +41,7 @@
     pub fn end_faults(&mut self) {
         let now = self.now;
         self.partitions.clear();
-        self.held_links.clear();
+        self.one_way_partitions.clear();
         self.slow_links.clear();
         self.duplicate_heartbeats = None;
         self.request_storm_until = now;
--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -36,7 +36,9 @@
 pub use checker::{Quota, Rule, Violation};
 pub use controllers::{CONTROLLERS, CalledService, RequestOrigin};
 pub use events::ScheduledEvent;
-pub use network::{DELAY_PACKETS, Endpoint, HeldLink, LOSE_PACKETS, NetworkPartition, SlowLink, other_controllers};
+pub use network::{
+    DELAY_PACKETS, Endpoint, LOSE_PACKETS, NetworkPartition, OneWayPartition, SlowLink, other_controllers,
+};
 pub use safeguards::DisabledSafeguard;
 pub use temporary_fault::{MaxDelay, Probability, TemporaryFault};
 
@@ -107,8 +109,8 @@
 
     /// Network partitions, including those that have healed.
     pub partitions: Vec<NetworkPartition>,
-    /// Links on which packets are held back, including those that were released.
-    pub held_links: Vec<HeldLink>,
+    /// Network partitions in one direction, including those that have healed.
+    pub one_way_partitions: Vec<OneWayPartition>,
     /// Endpoints whose packets are delayed in both directions.
     pub slow_links: Vec<SlowLink>,
     /// Fault that delivers some heartbeats a second time, with a delay.
--- a/tests/simulation/network.rs
+++ b/tests/simulation/network.rs
@@ -57,15 +57,17 @@
     }
 }
 
-/// One direction of the network between two endpoints, on which packets are held back. They are delivered in the order
-/// in which they were sent once the link is released, even if the process of either end has been replaced meanwhile.
+/// Temporary loss of connectivity from one endpoint to another, in one direction. Delayed packets are delivered in the
+/// order in which they were sent once the partition has healed, even if the process of either end has been replaced.
 #[derive(Clone, Copy, Debug)]
-pub struct HeldLink {
+pub struct OneWayPartition {
     pub from: Endpoint,
     pub to: Endpoint,
-    /// Time at which the link is released.
+    /// Time at which the partition heals.
     pub until: u64,
-    /// Number of packets that were held back so far.
+    /// `true` if packets are delivered after the partition has healed, `false` if they are lost.
+    pub delay_packets: bool,
+    /// Number of packets that were sent in the direction of the partition so far.
     pub packets: u64,
 }
 
@@ -102,18 +104,21 @@
                 arrival = arrival.max(partition.until + self.rng.random_range(0..20 * MS));
             }
         }
-        for link in &mut self.held_links {
-            if link.until > self.now && link.from == from && link.to == to {
-                link.packets += 1;
-                arrival = arrival.max(link.until + link.packets);
+        for partition in &mut self.one_way_partitions {
+            if partition.until > self.now && partition.from.includes(from) && partition.to.includes(to) {
+                partition.packets += 1;
+                if !partition.delay_packets {
+                    return None;
+                }
+                arrival = arrival.max(partition.until + partition.packets);
             }
         }
         Some(arrival)
     }
 
-    /// Holds back the packets from one endpoint to another until the given time.
-    pub fn hold_link(&mut self, from: Endpoint, to: Endpoint, until: u64) {
-        self.held_links.push(HeldLink { from, to, until, packets: 0 });
+    /// Interrupts the network from one endpoint to another, in this direction alone.
+    pub fn partition_one_way(&mut self, from: Endpoint, to: Endpoint, until: u64, delay_packets: bool) {
+        self.one_way_partitions.push(OneWayPartition { from, to, until, delay_packets, packets: 0 });
     }
 
     /// Separates one endpoint from each of the others.
--- a/tests/simulation/setup.rs
+++ b/tests/simulation/setup.rs
@@ -30,7 +30,7 @@
             quotas: BTreeMap::from([(Name::new("limited"), Quota { cpus: Some(Quantity::new(16.0)), gpus: None })]),
             users: Vec::new(),
             partitions: Vec::new(),
-            held_links: Vec::new(),
+            one_way_partitions: Vec::new(),
             slow_links: Vec::new(),
             duplicate_heartbeats: None,
             heartbeats_retained_until: 0,
