Ignore the answer to a request that was sent before a watch cache was stopped

What callers could have seen: a leader that loads from an incomplete replica answers 404 about accepted jobs and starts tasks a second time.

Cause: WatchCache::stop cleared the request in flight. When the cache was started again before the answer came, a late page was taken for the first page of the new listing, and the pages before it were never read.

Change: a request stays in flight until it is answered or has timed out, also across a stop; no other request is sent meanwhile.

Why this works: with one request in flight at any time, its answer can't be confused with another's.

--- a/crates/leadership/src/watch_cache.rs
+++ b/crates/leadership/src/watch_cache.rs
@@ -66,6 +66,17 @@
     Synced(Revision),
 }
 
+/// Request to the state service that waits for its answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RequestInFlight {
+    /// No request waits for its answer.
+    None,
+    /// The answer will be used.
+    Current,
+    /// The answer will be ignored, since the cache was stopped after the request was sent.
+    Abandoned,
+}
+
 /// Replica of the records of type `R` under one key prefix.
 #[derive(Debug)]
 pub struct WatchCache<R> {
@@ -74,8 +85,8 @@
     /// Maximum number of records. A replica that exceeds it is discarded.
     max_records: usize,
     watch_interval: Span,
-    /// `true` while a request waits for its answer. At most one request is in flight at a time.
-    in_flight: bool,
+    /// At most one request is in flight at a time, also across stops: an answer does not name its request.
+    in_flight: RequestInFlight,
     next_request_at: Time,
     retry_delay: Span,
     statistics: WatchCacheStatistics,
@@ -89,7 +100,7 @@
             records: BTreeMap::new(),
             max_records,
             watch_interval,
-            in_flight: false,
+            in_flight: RequestInFlight::None,
             next_request_at: Time::ZERO,
             retry_delay: MIN_RETRY_DELAY,
             statistics: WatchCacheStatistics::default(),
@@ -103,17 +114,20 @@
         }
     }
 
-    /// Stops the cache and discards all records. The answer to a request in flight will be ignored.
+    /// Stops the cache and discards all records. The answer to a request in flight will be ignored, and no other request
+    /// is sent before it has arrived.
     pub fn stop(&mut self) {
         self.phase = Phase::Stopped;
-        self.in_flight = false;
+        if self.in_flight == RequestInFlight::Current {
+            self.in_flight = RequestInFlight::Abandoned;
+        }
         self.records = BTreeMap::new();
     }
 
     /// Returns the request to send now, if one is due. If `at_once` is set, the interval between requests is ignored.
     pub fn next_request(&mut self, now: Time, at_once: bool) -> Option<WatchRequest> {
         let is_due = at_once || now >= self.next_request_at;
-        if self.in_flight || !is_due {
+        if self.in_flight != RequestInFlight::None || !is_due {
             return None;
         }
         let request = match &self.phase {
@@ -121,17 +135,17 @@
             Phase::Listing { after, .. } => WatchRequest::List { after: after.clone() },
             Phase::Synced(synced_revision) => WatchRequest::Watch { after: *synced_revision },
         };
-        self.in_flight = true;
+        self.in_flight = RequestInFlight::Current;
         self.statistics.requests += 1;
         Some(request)
     }
 
     /// Adds a page of the listing, read at `revision`. `more` is `true` if further pages follow.
     pub fn listed(&mut self, entries: Vec<(String, Revision, R)>, more: bool, revision: Revision, now: Time) {
-        let Phase::Listing { first_revision, .. } = &self.phase else { return };
-        if !std::mem::take(&mut self.in_flight) {
+        if !self.take_answer() {
             return;
         }
+        let Phase::Listing { first_revision, .. } = &self.phase else { return };
         let first_revision = first_revision.unwrap_or(revision);
         let last_key = entries.last().map(|(key, ..)| key.clone());
         self.statistics.records += entries.len() as u64;
@@ -153,10 +167,10 @@
 
     /// Applies all changes from the requested revision up to `revision`.
     pub fn changed(&mut self, changes: Vec<WatchChange<R>>, revision: Revision, now: Time) {
-        let Phase::Synced(synced_revision) = self.phase else { return };
-        if !std::mem::take(&mut self.in_flight) {
+        if !self.take_answer() {
             return;
         }
+        let Phase::Synced(synced_revision) = self.phase else { return };
         self.statistics.records += changes.len() as u64;
         for change in changes {
             self.apply(change);
@@ -171,7 +185,7 @@
     /// Records that the state service has compacted the requested changes. All records are listed again, after a delay
     /// that increases with every failure.
     pub fn compacted(&mut self, now: Time) {
-        if std::mem::take(&mut self.in_flight) {
+        if self.take_answer() {
             self.restart(now);
         }
     }
@@ -179,7 +193,7 @@
     /// Records that a request was refused or not answered. The request is retried after a delay that increases with
     /// every failure.
     pub fn failed(&mut self, now: Time) {
-        if std::mem::take(&mut self.in_flight) {
+        if self.take_answer() {
             self.back_off(now);
         }
     }
@@ -213,6 +227,11 @@
         self.statistics
     }
 
+    /// Records that the request in flight was answered. Returns `true` if its answer is to be used.
+    fn take_answer(&mut self) -> bool {
+        std::mem::replace(&mut self.in_flight, RequestInFlight::None) == RequestInFlight::Current
+    }
+
     /// Applies a change unless the replica already contains a newer version of the key, from a page that was read after
     /// the change was made.
     fn apply(&mut self, change: WatchChange<R>) {
--- a/crates/leadership/tests/watch_cache.rs
+++ b/crates/leadership/tests/watch_cache.rs
@@ -218,3 +218,40 @@
     cache.listed(entries, false, Revision(11), now);
     assert_eq!((cache.synced_revision(), cache.len()), (None, 0), "more records than the cache may keep");
 }
+
+/// Guards against a page that was requested before a stop and is taken for the first page of the next listing, so that
+/// the replica counts as synced although the pages before it were never read.
+#[test]
+fn page_requested_before_a_stop_is_ignored() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut service = Service::default();
+    (0..100).for_each(|_| service.change(&mut rng));
+    assert!(service.keys.len() > 2 * PAGE_SIZE, "too few keys for several pages");
+    let mut cache = WatchCache::new(Span::millis(1000), 100);
+    let mut now = Time(1_000_000);
+    cache.start(now);
+    let mut next_page = |cache: &mut WatchCache<u32>, late_page: Option<(Vec<_>, bool)>| {
+        now += Span::millis(200);
+        cache.start(now);
+        let request = cache.next_request(now, true);
+        if let Some((entries, more)) = late_page {
+            cache.listed(entries, more, Revision(service.revision), now);
+        }
+        let Some(WatchRequest::List { after }) = request else { return None };
+        let (entries, more) = service.list(after.as_ref());
+        Some((after, entries, more, now))
+    };
+    let (_, entries, more, at) = next_page(&mut cache, None).expect("the first page is requested");
+    cache.listed(entries, more, Revision(service.revision), at);
+    let (after, late_entries, late_more, _) = next_page(&mut cache, None).expect("the second page is requested");
+    assert!(after.is_some(), "the second request reads the first page");
+    cache.stop();
+    let mut late_page = Some((late_entries, late_more));
+    for _ in 0..20 {
+        if let Some((_, entries, more, at)) = next_page(&mut cache, late_page.take()) {
+            cache.listed(entries, more, Revision(service.revision), at);
+        }
+    }
+    assert_eq!(cache.synced_revision(), Some(Revision(service.revision)));
+    assert_eq!(cache.len(), service.keys.len(), "records are missing from the synced replica");
+}
