Write the record of a job only if its part records are those of the same submission

Cause: part records were written under the condition alone that the job has no live record, as if each submission wrote the same ones. Prerequisites that have ended meanwhile are left out, so two submissions differ; a late transaction of the first put its longer list back over the parts of the second, whose record counts fewer parts. Class: an operation of several transactions whose last one is not conditional on what the earlier ones wrote.

Change: the live record is written under the condition that the first part of each transaction still has the version that this submission wrote. Parts are written only while there is neither a live nor a final record.

Why this works: a late transaction that replaces parts changes one of these versions, so the live record is refused and the user asked to retry; once the job is accepted, no part is written.

Stored data and all digests are unchanged.

--- a/src/coordination/dependencies/prerequisite_parts.rs
+++ b/src/coordination/dependencies/prerequisite_parts.rs
@@ -7,7 +7,7 @@
 use crate::coordination::state_admission::TrafficClass;
 use crate::model::ShardId;
 use crate::protocol::state::StateResult;
-use crate::protocol::state::{Condition, StateAnswer, StateCall};
+use crate::protocol::state::{StateAnswer, StateCall};
 use crate::storage::keys;
 use crate::storage::records::PartRecord;
 
@@ -43,22 +43,25 @@
         shard.add_waiting_job(record, version);
     }
 
-    /// Writes the part records of a new job, as many at a time as fit into a transaction, and then its live record. If
-    /// the job is submitted again, the same parts are written again.
-    pub(in crate::coordination) fn write_parts(&mut self, mut new_job: NewJob) {
+    /// Writes the part records of a new job, as many at a time as fit into a transaction, and then its live record.
+    ///
+    /// If the job is submitted again, its parts are written again under the same keys, and they may differ: prerequisites
+    /// that have ended meanwhile are left out. The live record is therefore written under the condition that the parts
+    /// still have the versions of this submission, and no part is written once the job has been accepted.
+    pub(in crate::coordination) fn write_parts(&mut self, new_job: NewJob) {
         if !new_job.has_unwritten_parts() {
             return self.commit_acceptance(new_job);
         }
-        let changes = new_job.take_part_changes(self.settings.max_txn_changes);
-        let conditions = vec![Condition::absent(keys::live_key(new_job.id()))];
-        let request = StateCall::Commit { conditions, changes };
+        let changes = new_job.next_part_changes(self.settings.max_txn_changes);
+        let request = StateCall::Commit { conditions: new_job.conditions_of_absence(), changes };
         self.call_state(request, DependencyOperation::WriteParts(Box::new(new_job)));
     }
 
     /// Handles the answer to a write of part records.
-    pub(super) fn parts_written(&mut self, new_job: NewJob, answer: StateResult) {
+    pub(super) fn parts_written(&mut self, mut new_job: NewJob, answer: StateResult) {
         match answer {
-            Ok(StateAnswer::Committed(_)) => {
+            Ok(StateAnswer::Committed(version)) => {
+                new_job.parts_committed(self.settings.max_txn_changes, version);
                 self.admit_next_step(TrafficClass::Acceptance);
                 self.write_parts(new_job);
             }
--- a/src/coordination/user_requests/acceptance.rs
+++ b/src/coordination/user_requests/acceptance.rs
@@ -8,7 +8,7 @@
 use crate::coordination::state_admission::TrafficClass;
 use crate::model::{JobId, Revision, ShardId};
 use crate::protocol::state::StateResult;
-use crate::protocol::state::{Change, Condition, StateAnswer, StateCall};
+use crate::protocol::state::{Change, StateAnswer, StateCall};
 use crate::protocol::users::{JobState, JobView};
 use crate::protocol::{BusyReason, Reply};
 use crate::storage::keys;
@@ -69,15 +69,13 @@
         }
     }
 
-    /// Commits a new job's live record, after all its part records were written.
+    /// Commits a new job's live record, after all its part records were written, if they are still the same.
     pub(in crate::coordination) fn commit_acceptance(&mut self, new_job: NewJob) {
         let (shard, id) = (new_job.shard, new_job.id());
+        let mut conditions = vec![new_job.leadership_term().condition()];
+        conditions.extend(new_job.conditions_of_absence());
+        conditions.extend(new_job.part_conditions());
         let key = keys::live_key(id);
-        let conditions = vec![
-            new_job.leadership_term().condition(),
-            Condition::absent(key.clone()),
-            Condition::absent(keys::final_key(id)),
-        ];
         let mut changes = vec![Change::Put { key, value: to_value(&new_job.record), lease: None }];
         if new_job.path == AcceptancePath::Handoff {
             let value = serde_json::json!({});
--- a/src/coordination/user_requests/new_job.rs
+++ b/src/coordination/user_requests/new_job.rs
@@ -4,7 +4,7 @@
 use super::super::shard::START_WATERMARK_LOOKAHEAD;
 use crate::coordination::leadership_term::LeadershipTerm;
 use crate::model::{JobId, JobSpec, Revision, ShardId};
-use crate::protocol::state::Change;
+use crate::protocol::state::{Change, Condition};
 use crate::storage::keys;
 use crate::storage::records::{self, LiveRecord, NO_SHARD, PartRecord, to_value};
 
@@ -45,6 +45,16 @@
     pub path: AcceptancePath,
     /// Part records that are not written yet, in order: the prerequisites that do not fit into the live record.
     unwritten_parts: Vec<PartRecord>,
+    /// Transactions that have written part records, in order.
+    written_parts: Vec<PartsTransaction>,
+}
+
+/// Transaction that has written some part records of a new job.
+struct PartsTransaction {
+    /// Number of the first part that was written.
+    first_part: u32,
+    /// Version of all parts that were written.
+    version: Revision,
 }
 
 /// Error: the record of a job does not fit into a value of the state service.
@@ -70,7 +80,7 @@
             record.parts = unwritten_parts.len() as u32;
         }
         if fits_value(&record, max_value_bytes) {
-            Ok(NewJob { shard, term, record, path, unwritten_parts })
+            Ok(NewJob { shard, term, record, path, unwritten_parts, written_parts: Vec::new() })
         } else {
             Err(RecordTooLarge)
         }
@@ -91,17 +101,40 @@
         !self.unwritten_parts.is_empty()
     }
 
-    /// Removes the next unwritten part records, at most `max_count` of them, and returns the changes that write them.
-    pub fn take_part_changes(&mut self, max_count: usize) -> Vec<Change> {
-        let first_number = self.record.parts - self.unwritten_parts.len() as u32;
-        let later_parts = self.unwritten_parts.split_off(max_count.min(self.unwritten_parts.len()));
-        let parts = std::mem::replace(&mut self.unwritten_parts, later_parts);
-        let put = |(number, part): (u32, PartRecord)| Change::Put {
+    /// Returns the changes that write the next unwritten part records, at most `max_count` of them.
+    pub fn next_part_changes(&self, max_count: usize) -> Vec<Change> {
+        let put = |(number, part): (u32, &PartRecord)| Change::Put {
             key: keys::part_key(self.id(), number),
-            value: to_value(&part),
+            value: to_value(part),
             lease: None,
         };
-        (first_number..).zip(parts).map(put).collect()
+        (self.next_part()..).zip(self.unwritten_parts.iter().take(max_count)).map(put).collect()
+    }
+
+    /// Records that the changes of [`NewJob::next_part_changes`] with the same `max_count` were committed.
+    pub fn parts_committed(&mut self, max_count: usize, version: Revision) {
+        self.written_parts.push(PartsTransaction { first_part: self.next_part(), version });
+        self.unwritten_parts.drain(..max_count.min(self.unwritten_parts.len()));
+    }
+
+    /// Returns the number of the first part that is not written yet.
+    fn next_part(&self) -> u32 {
+        self.record.parts - self.unwritten_parts.len() as u32
+    }
+
+    /// Returns the conditions under which the part records are those that were written for this acceptance. Every
+    /// submission of the job divides its parts among transactions in the same way, so a late transaction of another
+    /// submission that replaces any of them also replaces the first one of the same transaction.
+    pub fn part_conditions(&self) -> Vec<Condition> {
+        let condition = |transaction: &PartsTransaction| {
+            Condition::version(keys::part_key(self.id(), transaction.first_part), transaction.version)
+        };
+        self.written_parts.iter().map(condition).collect()
+    }
+
+    /// Returns the conditions under which the job has not been accepted yet.
+    pub fn conditions_of_absence(&self) -> Vec<Condition> {
+        [keys::live_key(self.id()), keys::final_key(self.id())].map(Condition::absent).into()
     }
 }
 
--- a/tests/job_dependencies.rs
+++ b/tests/job_dependencies.rs
@@ -11,6 +11,7 @@
 use simulation::users::spec;
 use simulation::{
     CANCELLATION_BOUND, CONTROLLERS, DisabledSafeguard, Endpoint, FOREVER, LOSE_PACKETS, MS, Rule, SEC, Simulation,
+    TemporaryFault,
 };
 
 /// Limits of the state service that are lower than those of [`RequestLimits::default`] for values and transactions. The
@@ -273,6 +274,54 @@
     }
 }
 
+/// Number of jobs in the days with late transactions, each a prerequisite of all dependents that are submitted before it
+/// ends.
+const PREREQUISITES_UNDER_LATE_WRITES: usize = 400;
+/// Time at which the dependents are submitted and transactions begin to be late.
+const LATE_WRITES_FROM: u64 = 70 * SEC;
+
+/// Runs a day in which dependents of 171 to 400 jobs are submitted while half of the transactions are executed late and
+/// without an answer, and while some of the prerequisites end.
+fn accept_many_prerequisites_under_late_writes(seed: u64) -> Simulation {
+    let mut simulation = Simulation::with_one_shard(seed, [8, 8]);
+    simulation.cloud.reliable = true;
+    simulation.state_service.request_limits = LOWERED_LIMITS;
+    let mut prerequisites = Vec::new();
+    for id in 0..PREREQUISITES_UNDER_LATE_WRITES as u32 {
+        let ends_early = simulation.rng.random_bool(0.5);
+        let short = simulation.rng.random_range(40 * SEC..80 * SEC);
+        let run_time = if ends_early { short } else { 120 * SEC + u64::from(id) * 300 * MS };
+        let job = spec(id, JobKind::Array, "free", 1, 0.1);
+        prerequisites.push(simulation.add_dependent_job(job, &[], run_time, 2 * SEC, None));
+    }
+    simulation.run_until(LATE_WRITES_FROM);
+    for id in 0..48 {
+        let count =
+            if id % 4 == 3 { simulation.rng.random_range(345..400) } else { simulation.rng.random_range(171..230) };
+        let first = simulation.rng.random_range(0..=PREREQUISITES_UNDER_LATE_WRITES - count);
+        let needs = &prerequisites[first..first + count];
+        let dependent = spec(900 + id, JobKind::Array, "free", 1, 0.1);
+        simulation.add_dependent_job(dependent, needs, SEC, LATE_WRITES_FROM + u64::from(id) * 200 * MS, None);
+    }
+    simulation.state_service.delayed_commits = Some(TemporaryFault::new(LATE_WRITES_FROM + 30 * SEC, 0.5));
+    simulation.run_until(320 * SEC);
+    simulation
+}
+
+/// Guards against a late transaction that puts an older list into the part records of a job, which then starts before
+/// all of its prerequisites are done.
+#[test]
+fn late_writes_of_part_records_let_no_job_start_too_early() {
+    let mut accepted = 0;
+    for seed in 0..20 {
+        let simulation = accept_many_prerequisites_under_late_writes(seed);
+        simulation.assert_no_violations();
+        let dependents = &simulation.users[PREREQUISITES_UNDER_LATE_WRITES..];
+        accepted += dependents.iter().filter(|user| user.accepted_at.is_some()).count();
+    }
+    assert!(accepted >= 160, "only {accepted} of 320 dependents were accepted");
+}
+
 /// Guards against endless retries when the state service's limit on values is lower than announced. A transaction that
 /// was rejected for its size must not be sent again unchanged, and the job has to be done nevertheless.
 #[test]
