--- a/crates/leadership/src/watch_cache.rs
+++ b/crates/leadership/src/watch_cache.rs
@@ -114,8 +114,8 @@
         }
     }
 
-    /// Stops the cache and discards all records. The answer to a request in flight will be ignored, and no other request
-    /// is sent before it has arrived.
+    /// Stops the cache and discards all records. The answer to a request in flight will be ignored, and no other
+    /// request is sent before it has arrived.
     pub fn stop(&mut self) {
         self.phase = Phase::Stopped;
         if self.in_flight == RequestInFlight::Current {
--- a/src/coordination/dependencies/prerequisite_parts.rs
+++ b/src/coordination/dependencies/prerequisite_parts.rs
@@ -45,9 +45,9 @@
 
     /// Writes the part records of a new job, as many at a time as fit into a transaction, and then its live record.
     ///
-    /// If the job is submitted again, its parts are written again under the same keys, and they may differ: prerequisites
-    /// that have ended meanwhile are left out. The live record is therefore written under the condition that the parts
-    /// still have the versions of this submission, and no part is written once the job has been accepted.
+    /// If the job is submitted again, its parts are written again under the same keys, and they may differ:
+    /// prerequisites that have ended meanwhile are left out. The live record is therefore written under the condition
+    /// that the parts still have the versions of this submission, and no part is written once the job was accepted.
     pub(in crate::coordination) fn write_parts(&mut self, new_job: NewJob) {
         if !new_job.has_unwritten_parts() {
             return self.commit_acceptance(new_job);
--- a/src/coordination/request_statistics.rs
+++ b/src/coordination/request_statistics.rs
@@ -109,9 +109,9 @@
             log::info!(
                 "replies in the last minute, by status: {}; replies to be retried, by reason: {}; replies about jobs \
                  with prerequisites: {}; unexpected answers to forwarded requests: {}; worker leases renewed without \
-                 stopping all tasks of ended jobs: {}; latency of the state service: median {} ms, p99 {} ms, maximum {} ms of {} \
-                 calls; longest interval between ticks: {} ms; machines and attempts inspected in search of room for \
-                 waiting tasks: {}; rounds of preemption ended at their limit: {}",
+                 stopping all tasks of ended jobs: {}; latency of the state service: median {} ms, p99 {} ms, \
+                 maximum {} ms of {} calls; longest interval between ticks: {} ms; machines and attempts inspected in \
+                 search of room for waiting tasks: {}; rounds of preemption ended at their limit: {}",
                 format_counts(&self.replies),
                 format_counts(&self.busy_replies),
                 format_counts(&self.dependent_replies),
--- a/src/coordination/worker_heartbeats/lease_renewal.rs
+++ b/src/coordination/worker_heartbeats/lease_renewal.rs
@@ -1,9 +1,9 @@
 //! The answers that renew worker leases.
 //!
-//! After a user is told that a job is cancelled, its tasks may remain on machines only until the worker leases that were
-//! renewed before have ended. So each answer that renews a lease has to stop all tasks on the machine whose jobs have
-//! ended, whether the heartbeat is the newest one or an outdated one. [`Controller::renew_worker_lease`] alone gives
-//! such answers.
+//! After a user is told that a job is cancelled, its tasks may remain on machines only until the worker leases that
+//! were renewed before have ended. So each answer that renews a lease has to stop all tasks on the machine whose jobs
+//! have ended, whether the heartbeat is the newest one or an outdated one. [`Controller::renew_worker_lease`] alone
+//! gives such answers.
 
 use super::super::controller::Controller;
 use super::super::events::Requester;
@@ -11,7 +11,7 @@
 use crate::model::{AttemptNumber, FinalState, JobId, ShardId, TaskId};
 use crate::protocol::workers::{self, Command, TaskState, WorkerHeartbeat};
 use crate::protocol::{BusyReason, Reply};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// Attempts that the answer to a heartbeat has to stop if it renews the worker lease.
 pub(super) struct RequiredStops(BTreeMap<AttemptNumber, TaskId>);
@@ -34,8 +34,16 @@
 
     /// Returns the number of attempts that the commands do not stop at once.
     fn count_missing_in(&self, commands: &[Command]) -> usize {
-        let is_stop_of = |command: &Command, number: AttemptNumber| matches!(command, Command::Stop { attempt, grace_s: 0.0, .. } if *attempt == number);
-        self.0.keys().filter(|number| !commands.iter().any(|command| is_stop_of(command, **number))).count()
+        let stopped: BTreeSet<AttemptNumber> = commands.iter().filter_map(attempt_stopped_at_once).collect();
+        self.0.keys().filter(|number| !stopped.contains(number)).count()
+    }
+}
+
+/// Returns the attempt that a command stops without time to save its progress, or `None` for any other command.
+fn attempt_stopped_at_once(command: &Command) -> Option<AttemptNumber> {
+    match command {
+        Command::Stop { attempt, grace_s: 0.0, .. } => Some(*attempt),
+        _ => None,
     }
 }
 
@@ -45,8 +53,8 @@
 }
 
 impl Shard {
-    /// Returns the attempts of jobs that have ended among those that a heartbeat lists and those that are known to be on
-    /// its machine. A listed attempt is known only if the list was applied.
+    /// Returns the attempts of jobs that have ended among those that a heartbeat lists and those that are known to be
+    /// on its machine. A listed attempt is known only if the list was applied.
     pub(super) fn required_stops(&self, heartbeat: &WorkerHeartbeat) -> RequiredStops {
         let is_over = |state: TaskState| matches!(state, TaskState::Exited(_));
         let listed = heartbeat.tasks.iter().filter(|status| !is_over(status.state));
@@ -83,8 +91,8 @@
             return self.reply(requester, workers::accepted(machine.token, commands));
         }
         log::error!(
-            "invariant violated: machine {}: the answer to heartbeat {} of epoch {} would have renewed the worker lease \
-             without stopping {missing} tasks of ended jobs; refusing the heartbeat",
+            "invariant violated: machine {}: the answer to heartbeat {} of epoch {} would have renewed the worker \
+             lease without stopping {missing} tasks of ended jobs; refusing the heartbeat",
             heartbeat.machine,
             heartbeat.seq.0,
             heartbeat.epoch.0
--- a/tests/job_dependencies.rs
+++ b/tests/job_dependencies.rs
@@ -274,8 +274,7 @@
     }
 }
 
-/// Number of jobs in the days with late transactions, each a prerequisite of all dependents that are submitted before it
-/// ends.
+/// Number of jobs in the days with late transactions of which the dependents need some.
 const PREREQUISITES_UNDER_LATE_WRITES: usize = 400;
 /// Time at which the dependents are submitted and transactions begin to be late.
 const LATE_WRITES_FROM: u64 = 70 * SEC;
