--- a/review/standin-2/deployment.py
+++ b/review/standin-2/deployment.py
@@ -58,7 +58,7 @@
 
     try:
         status = asyncio.run(main())
-    except Exception:
+    except (Exception, KeyboardInterrupt):
         traceback.print_exc()
         status = 2
     sys.exit(status)
--- a/review/standin-2/rig.py
+++ b/review/standin-2/rig.py
@@ -17,7 +17,6 @@
 import subprocess
 import tempfile
 import time
-import tomllib
 
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
 HELD = object()  # returned by a handler: the request is never answered, and its connection is reset
@@ -507,8 +506,8 @@
         self.process, self.log = None, os.path.join(rig.folder, f"perch-{index}.log")
 
     def start(self):
-        with open(os.path.join(ROOT, "deploy", "service.toml"), "rb") as file:
-            run = tomllib.load(file)["run"]
+        with open(os.path.join(ROOT, "deploy", "service.toml")) as file:
+            run = next(line.split("=", 1)[1].strip().strip('"') for line in file if line.startswith("run ="))
         log = open(self.log, "a")
         self.process = subprocess.Popen(
             shlex.split(run) + [os.path.join(self.rig.folder, f"perch-{self.index}.toml")],
