--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,4 +1,4 @@
-"""A user submits a pipeline of 300 small jobs with one deadline at its end."""
+"""A user submits a pipeline of 360 small jobs with one deadline at its end."""
 
 import asyncio
 import os
@@ -12,12 +12,14 @@
 from deployment import TROUBLE, ZONES, CannotRun, play, start  # noqa: E402
 from rig import call  # noqa: E402
 
-JOBS = 300
+JOBS = 360
 # Each job names the 40 jobs before it; without the trouble, only the one before it.
 NAMED = 40 if TROUBLE else 1
 # Owners' estimates of the run times: from a second to ten hours, drawn evenly on a logarithmic scale.
 SHORTEST_S, LONGEST_S, SEED = 1.0, 36_000.0, 1
-WATCHED_S = 75.0
+WATCHED_S = 86.0
+# kit/more/hunt/LATER.md: a job about which no question is answered for 75 s counts as forgotten, however others fare.
+FORGOTTEN_S = 75.0
 # A worker lease: a controller that is silent for as long loses every machine that reports to it.
 HANG_S = 10.0
 
@@ -69,12 +71,16 @@
             raise CannotRun(f"{name} was not accepted")
     begin = rig.now()
     rig.note("the last job of the pipeline was sent")
+    told_at, longest_s = rig.now(), 0.0
     while rig.now() < begin + WATCHED_S:
-        await asyncio.sleep(3.0)
-        for node in rig.controllers:
-            answer = await call(node.front, "GET", "/v1/jobs/wk-000900", None, 2.0)
-            rig.note(f"user: GET /v1/jobs/wk-000900 at {node.label}: {answer and (answer[0], answer[2])}")
+        await asyncio.sleep(1.0)
+        questions = [rig.ask(node, "GET", "/v1/jobs/wk-000900", None, 2.0) for node in rig.controllers]
+        if any(answer is not None and answer[0] == 200 for answer in await asyncio.gather(*questions)):
+            told_at = rig.now()
+        longest_s = max(longest_s, rig.now() - told_at)
     violations = []
+    if longest_s >= FORGOTTEN_S:
+        violations.append(f"no question about the accepted job wk-000900 was answered at any node for {longest_s:.1f} s")
     if not last.done() or last.result() is None:
         violations.append("the submission of the last job got no answer of the page for 60 s")
     last.cancel()
