Compute inherited urgency once for each job instead of once for each path

Users got no answer, workers lost their leases with all tasks.

Cause: raise_urgency and recompute_urgency followed the prerequisites depth first and visited a job again for every path that gave it an earlier due time. The length of a path was bounded, the number of paths was not. Class: a traversal of a graph whose work is bounded by something other than the size of the graph.

Fix: changes to the graph only mark jobs as outdated. An update takes them in an order in which dependents precede their prerequisites and computes each affected job once. New jobs are appended to that order; it is computed anew, in linear time, only when an added dependency contradicts it. Updates run before urgencies are used, once a tick and once when a shard was loaded. The limit of visits (each job twice, each dependency three times) is asserted at run time, and the largest update of a minute is logged. Adding a dependency no longer searches all dependents of the prerequisite.

The naive model agrees after single and after several changes; it now checks the reported changes too.

--- a/crates/dependencies/src/graph.rs
+++ b/crates/dependencies/src/graph.rs
@@ -1,13 +1,18 @@
 //! The dependency graph of one shard.
 
 mod inheritance;
+mod topological_order;
+
+pub use inheritance::UrgencyUpdate;
 
 use crate::urgency::Urgency;
 use crowstall_model::model::{FinalState, JobId};
+use inheritance::OutdatedUrgencies;
 use petgraph::Direction::{Incoming, Outgoing};
 use petgraph::stable_graph::{NodeIndex, StableDiGraph};
 use petgraph::visit::{Dfs, Reversed};
 use std::collections::{HashMap, HashSet};
+use topological_order::{Position, TopologicalOrder};
 
 /// Status of a job in the graph.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -29,8 +34,9 @@
     status: JobStatus,
     /// Urgency set by the user.
     own_urgency: Urgency,
-    /// Own urgency combined with the urgency inherited from dependents.
+    /// Own urgency combined with the urgency inherited from dependents, as of the last update.
     inherited_urgency: Urgency,
+    position: Position,
 }
 
 impl JobNode {
@@ -70,6 +76,10 @@
     index_by_job: HashMap<JobId, NodeIndex>,
     /// Jobs with the status [`JobStatus::Unknown`].
     unknown_jobs: HashSet<JobId>,
+    /// Order in which urgencies are inherited.
+    order: TopologicalOrder,
+    /// Jobs whose inherited urgency may have to be recomputed.
+    outdated_urgencies: OutdatedUrgencies,
     /// Jobs whose inherited urgency has changed since `take_changed_urgencies` was last called.
     changed_urgencies: HashSet<JobId>,
 }
@@ -78,24 +88,25 @@
     /// Adds a job that waits for `prerequisites`, none of which may be done. If one of them is withdrawn, the job is
     /// withdrawn too: returns the job and all its dependents in that case.
     pub fn add_waiting(&mut self, job: &JobId, prerequisites: &[JobId], urgency: Urgency) -> Vec<JobId> {
-        let index = self.index_or_insert(job);
+        let index = self.index_of(job).unwrap_or_else(|| {
+            let position = self.order.take_last();
+            self.insert_unknown(job, position)
+        });
         self.set_status(index, JobStatus::Waiting);
+        let mut known: HashSet<NodeIndex> = self.prerequisites_of(index).collect();
         let mut cancelled = None;
         for prerequisite in prerequisites.iter().filter(|prerequisite| *prerequisite != job) {
-            let prerequisite = self.index_or_insert(prerequisite);
-            if !self.graph.contains_edge(prerequisite, index) {
+            let prerequisite = self.prerequisite_or_insert(prerequisite);
+            if known.insert(prerequisite) {
                 self.graph.add_edge(prerequisite, index, ());
+                self.order.add_dependency(self.graph[prerequisite].position, self.graph[index].position);
             }
             if let JobStatus::Withdrawn(cause) = &self.graph[prerequisite].status {
                 cancelled = Some(cause.clone());
             }
         }
-        self.graph[index].own_urgency = urgency;
-        if let Some(cause) = cancelled {
-            return self.withdraw_with_dependents(index, &cause);
-        }
-        self.raise_urgency(index, urgency);
-        Vec::new()
+        self.set_own_urgency(index, urgency);
+        cancelled.map_or_else(Vec::new, |cause| self.withdraw_with_dependents(index, &cause))
     }
 
     /// Marks a job as accepted and not waiting for any prerequisite. Such a job stays in the graph only while other
@@ -103,8 +114,7 @@
     pub fn mark_runnable(&mut self, job: &JobId, urgency: Urgency) {
         let Some(index) = self.index_of(job) else { return };
         self.set_status(index, JobStatus::Runnable);
-        self.graph[index].own_urgency = urgency;
-        self.raise_urgency(index, urgency);
+        self.set_own_urgency(index, urgency);
         self.remove_if_unneeded(index);
     }
 
@@ -119,8 +129,8 @@
             FinalState::Done => Vec::new(),
         };
         self.remove(index);
-        self.recompute_urgency(prerequisites.clone());
         for prerequisite in prerequisites {
+            self.outdated_urgencies.mark(prerequisite);
             self.remove_if_unneeded(prerequisite);
         }
         match state {
@@ -180,13 +190,13 @@
         self.unknown_jobs.iter()
     }
 
-    /// Returns the urgency of a job including the urgency inherited from its dependents, or `None` if the job is not in
-    /// the graph.
+    /// Returns the urgency of a job including the urgency inherited from its dependents as of the last update, or `None`
+    /// if the job is not in the graph.
     pub fn inherited_urgency(&self, job: &JobId) -> Option<Urgency> {
         self.index_of(job).map(|index| self.graph[index].inherited_urgency)
     }
 
-    /// Returns the jobs whose inherited urgency has changed since the previous call.
+    /// Returns the jobs whose inherited urgency has changed since the previous call, as of the last update.
     pub fn take_changed_urgencies(&mut self) -> HashSet<JobId> {
         std::mem::take(&mut self.changed_urgencies)
     }
@@ -205,15 +215,21 @@
         self.index_by_job.get(job).copied()
     }
 
-    fn index_or_insert(&mut self, job: &JobId) -> NodeIndex {
-        if let Some(index) = self.index_of(job) {
-            return index;
-        }
+    /// Returns a job that others wait for. Inserts it if it is not in the graph.
+    fn prerequisite_or_insert(&mut self, job: &JobId) -> NodeIndex {
+        self.index_of(job).unwrap_or_else(|| {
+            let position = self.order.take_first();
+            self.insert_unknown(job, position)
+        })
+    }
+
+    fn insert_unknown(&mut self, job: &JobId, position: Position) -> NodeIndex {
         let index = self.graph.add_node(JobNode {
             job: job.clone(),
             status: JobStatus::Unknown,
             own_urgency: Urgency::default(),
             inherited_urgency: Urgency::default(),
+            position,
         });
         self.index_by_job.insert(job.clone(), index);
         self.unknown_jobs.insert(job.clone());
@@ -276,7 +292,6 @@
     /// before.
     fn withdraw_with_dependents(&mut self, index: NodeIndex, cause: &JobId) -> Vec<JobId> {
         let mut withdrawn = Vec::new();
-        let mut prerequisites = Vec::new();
         let mut stack = vec![index];
         while let Some(index) = stack.pop() {
             if self.graph[index].is_withdrawn() {
@@ -285,13 +300,10 @@
             self.set_status(index, JobStatus::Withdrawn(cause.clone()));
             withdrawn.push(self.graph[index].job.clone());
             stack.extend(self.dependents_of(index));
-            prerequisites.extend(self.prerequisites_of(index));
+            // The prerequisites no longer inherit urgency from the withdrawn job.
+            let prerequisites: Vec<NodeIndex> = self.prerequisites_of(index).collect();
+            prerequisites.into_iter().for_each(|prerequisite| self.outdated_urgencies.mark(prerequisite));
         }
-        // The remaining prerequisites of the withdrawn jobs no longer inherit urgency from them.
-        prerequisites.retain(|prerequisite| !self.graph[*prerequisite].is_withdrawn());
-        prerequisites.sort();
-        prerequisites.dedup();
-        self.recompute_urgency(prerequisites);
         withdrawn
     }
 }
--- a/crates/dependencies/src/lib.rs
+++ b/crates/dependencies/src/lib.rs
@@ -5,12 +5,13 @@
 //! the urgency that a job inherits from the jobs that depend on it ([`Urgency`]).
 //!
 //! Nothing in this crate performs I/O or reads a clock. No function is recursive, so the length of a chain of
-//! dependencies is not limited by the stack.
+//! dependencies is not limited by the stack. No function takes more steps than a small multiple of the number of jobs
+//! and dependencies in the graph.
 
 #![warn(missing_docs)]
 
 mod graph;
 mod urgency;
 
-pub use graph::{DependencyGraph, DependencyStatus};
+pub use graph::{DependencyGraph, DependencyStatus, UrgencyUpdate};
 pub use urgency::Urgency;
--- a/crates/dependencies/src/urgency.rs
+++ b/crates/dependencies/src/urgency.rs
@@ -33,12 +33,22 @@
         }
     }
 
-    /// Returns the urgency that the prerequisites of a job with this urgency inherit: their due times are earlier by
-    /// `expected_run_ms`, the expected run time of the job itself.
-    pub fn for_prerequisites(&self, expected_run_ms: u64) -> Urgency {
-        let subtract_run = |time: Option<u64>| time.map(|time| time.saturating_sub(expected_run_ms));
+    /// Returns the urgency that the prerequisites of a job with this urgency inherit: the due times are earlier by the
+    /// expected run time of the job.
+    pub fn for_prerequisites(&self) -> Urgency {
+        let subtract_run = |time: Option<u64>| time.map(|time| time.saturating_sub(self.expected_run_ms));
         Urgency { due_ms: subtract_run(self.due_ms), useful_until_ms: subtract_run(self.useful_until_ms), ..*self }
     }
+
+    /// Returns `true` if the urgency that a job inherits may change when that of one of its dependents changes from
+    /// `previous` to `current`. `self` is the urgency that the job inherited before.
+    pub(crate) fn is_affected_by(&self, previous: &Urgency, current: &Urgency) -> bool {
+        let (previous, current) = (previous.for_prerequisites(), current.for_prerequisites());
+        let is_raised = self.combine(&current) != *self;
+        let may_be_lowered =
+            previous.combine(&current) != Urgency { expected_run_ms: previous.expected_run_ms, ..current };
+        is_raised || may_be_lowered
+    }
 }
 
 /// Returns the earlier of two times, where `None` is later than any time.
--- a/crates/dependencies/tests/dependency_graph.rs
+++ b/crates/dependencies/tests/dependency_graph.rs
@@ -5,7 +5,7 @@
 use crowstall_model::model::{FinalState, JobId, Priority};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 
 /// A job of the naive model.
 #[derive(Clone)]
@@ -76,7 +76,7 @@
         let dependents = self.jobs.keys().filter(is_dependent).filter(|other| !withdrawn.contains(&id(**other)));
         dependents.fold(self.jobs[&job].urgency, |urgency, other| {
             let inherited = self.inherited_urgency(withdrawn, *other);
-            urgency.combine(&inherited.for_prerequisites(self.jobs[other].urgency.expected_run_ms))
+            urgency.combine(&inherited.for_prerequisites())
         })
     }
 }
@@ -99,6 +99,8 @@
     withdrawn: HashSet<JobId>,
     /// Jobs that the graph has reported as ready.
     ready: HashSet<JobId>,
+    /// Inherited urgency of each job, kept up to date with the reported changes alone.
+    urgencies: HashMap<JobId, Option<Urgency>>,
 }
 
 impl Run {
@@ -110,6 +112,7 @@
             model: Model::default(),
             withdrawn: HashSet::new(),
             ready: HashSet::new(),
+            urgencies: HashMap::new(),
         }
     }
 
@@ -223,11 +226,23 @@
         if is_withdrawn { checked.withdrawn += 1 } else { checked.waiting += 1 }
     }
 
-    fn check_urgency(&self, number: usize, step: usize) {
+    fn update_urgencies(&mut self) {
+        let update = self.graph.update_urgencies();
+        assert!(update.is_within_limit, "seed {}: {} visits", self.seed, update.visits);
+        for job in self.graph.take_changed_urgencies() {
+            let urgency = self.graph.inherited_urgency(&job);
+            self.urgencies.insert(job, urgency);
+        }
+    }
+
+    fn check_urgency(&mut self, number: usize, step: usize) {
+        self.update_urgencies();
         let (seed, job) = (self.seed, id(number));
         if let Some(urgency) = self.graph.inherited_urgency(&job).filter(|_| !self.model.is_withdrawn(number)) {
             let expected = self.model.inherited_urgency(&self.withdrawn, number);
             assert_eq!(urgency, expected, "seed {seed} step {step}: urgency of {job}");
+            let reported = self.urgencies.get(&job).copied().flatten().unwrap_or_default();
+            assert_eq!(reported, expected, "seed {seed} step {step}: reported urgency of {job}");
         }
     }
 }
@@ -242,6 +257,16 @@
             run.check(step, &mut checked);
         }
     }
+    // Several changes are applied between two updates of the urgencies.
+    for seed in 300..600 {
+        let mut run = Run::new(seed);
+        for step in 0..60usize {
+            run.step();
+            if step % 7 == 6 {
+                run.check(step, &mut checked);
+            }
+        }
+    }
     let counts = [checked.ready, checked.waiting, checked.withdrawn];
     assert!(counts.iter().all(|count| *count > 100), "{checked:?}");
 }
@@ -272,6 +297,7 @@
         graph.add_waiting(&id(number), &[id(number - 1)], urgency);
     }
     graph.mark_runnable(&id(0), Urgency::default());
+    assert!(graph.update_urgencies().is_within_limit);
     let first = graph.inherited_urgency(&id(0)).expect("the first job has a dependent");
     assert_eq!((first.priority, first.due_ms), (Priority::High, Some(90_000_000 - last as u64 * 1_000)));
     assert_eq!(graph.record_end(&id(0), FinalState::Cancelled).len(), last);
@@ -291,3 +317,136 @@
     assert_eq!(ready, [id(9_999)]);
     assert_eq!(graph.record_end(&id(9_999), FinalState::Done).len(), 5_000);
 }
+
+/// A pipeline in which each job waits for the jobs before it.
+struct Pipeline {
+    jobs: usize,
+    /// Number of directly preceding jobs that each job names.
+    named: usize,
+    /// Expected run time of each job in milliseconds.
+    run_ms: Vec<u64>,
+}
+
+impl Pipeline {
+    /// Returns a pipeline with expected run times between a second and ten hours, evenly distributed on a logarithmic
+    /// scale.
+    fn with_random_run_times(jobs: usize, named: usize, seed: u64) -> Pipeline {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let run_ms = (0..jobs).map(|_| (1_000.0 * 36_000f64.powf(rng.random_range(0.0..1.0))) as u64).collect();
+        Pipeline { jobs, named, run_ms }
+    }
+
+    /// Returns a pipeline in which each job names all jobs before it and is expected to run longer than these.
+    fn with_growing_run_times(jobs: usize) -> Pipeline {
+        Pipeline {
+            jobs,
+            named: jobs,
+            run_ms: (0..jobs).map(|number| (1_000.0 * 1.3f64.powi(number as i32)) as u64).collect(),
+        }
+    }
+
+    fn prerequisites(&self, number: usize) -> Vec<JobId> {
+        (number.saturating_sub(self.named)..number).map(id).collect()
+    }
+
+    fn dependencies(&self) -> usize {
+        (0..self.jobs).map(|number| self.prerequisites(number).len()).sum()
+    }
+
+    /// Adds a job. Only the last job of the pipeline has a deadline.
+    fn add(&self, graph: &mut DependencyGraph, number: usize) {
+        let own = Urgency { expected_run_ms: self.run_ms[number], ..Urgency::default() };
+        let urgency = if number == self.jobs - 1 { Urgency { due_ms: LONG_DUE.due_ms, ..own } } else { own };
+        match number {
+            0 => graph.mark_runnable(&id(0), urgency),
+            _ => assert!(graph.add_waiting(&id(number), &self.prerequisites(number), urgency).is_empty()),
+        }
+    }
+
+    /// Returns the due time that the first job inherits through the slowest path.
+    fn due_of_first_job(&self) -> Option<u64> {
+        let mut due_ms = vec![LONG_DUE.due_ms; self.jobs];
+        for number in (0..self.jobs - 1).rev() {
+            let dependents = number + 1..(number + 1 + self.named).min(self.jobs);
+            due_ms[number] =
+                dependents.map(|at| due_ms[at].map(|due| due.saturating_sub(self.run_ms[at]))).min().flatten();
+        }
+        due_ms[0]
+    }
+}
+
+/// Guards against updates that follow every path through a pipeline: adding the last job of one with 360 jobs took more
+/// than a minute, during which the leader answered nobody.
+#[test]
+fn an_update_visits_each_job_and_each_dependency_a_few_times() {
+    let pipelines = [
+        Pipeline::with_growing_run_times(20),
+        Pipeline::with_random_run_times(60, 20, 1),
+        Pipeline::with_random_run_times(360, 40, 1),
+        Pipeline::with_growing_run_times(64),
+    ];
+    for pipeline in pipelines {
+        let (jobs, size) = (pipeline.jobs, pipeline.jobs + pipeline.dependencies());
+        let mut graph = DependencyGraph::default();
+        for number in 0..jobs {
+            pipeline.add(&mut graph, number);
+            let visits = graph.update_urgencies().visits;
+            assert!(
+                visits <= 3 * size,
+                "{visits} visits for job {number} of {jobs}, with {size} jobs and dependencies"
+            );
+        }
+        graph.mark_runnable(&id(0), Urgency::default());
+        let first = graph.inherited_urgency(&id(0)).expect("the first job has dependents");
+        assert_eq!(first.due_ms, pipeline.due_of_first_job());
+    }
+}
+
+/// Guards against updates that begin anew for each record while the records of a pipeline are loaded in any order.
+#[test]
+fn loading_a_pipeline_in_any_order_takes_one_update() {
+    let pipeline = Pipeline::with_random_run_times(360, 40, 2);
+    let size = pipeline.jobs + pipeline.dependencies();
+    for seed in 0..10 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut numbers: Vec<usize> = (0..pipeline.jobs).collect();
+        (1..numbers.len()).for_each(|at| numbers.swap(at, rng.random_range(0..=at)));
+        let mut graph = DependencyGraph::default();
+        numbers.iter().for_each(|number| pipeline.add(&mut graph, *number));
+        pipeline.add(&mut graph, 0);
+        let update = graph.update_urgencies();
+        assert!(update.is_within_limit && update.visits <= 3 * size, "seed {seed}: {} visits", update.visits);
+        let first = graph.inherited_urgency(&id(0)).expect("the first job has dependents");
+        assert_eq!(first.due_ms, pipeline.due_of_first_job(), "seed {seed}");
+        assert_eq!(graph.update_urgencies().visits, 0);
+    }
+}
+
+/// Guards against a step for each dependent of a job when one more is added that changes nothing.
+#[test]
+fn an_unchanged_urgency_is_not_recomputed_from_all_dependents() {
+    let mut graph = DependencyGraph::default();
+    graph.add_waiting(&id(1), &[id(0)], Urgency::default());
+    graph.mark_runnable(&id(0), LONG_DUE);
+    graph.update_urgencies();
+    for number in 2..5_000 {
+        graph.add_waiting(&id(number), &[id(0)], Urgency::default());
+        let visits = graph.update_urgencies().visits;
+        assert!(visits <= 4, "{visits} visits for dependent {number}");
+    }
+}
+
+/// Guards against endless updates on records that depend on one another in a cycle.
+#[test]
+fn updates_end_in_spite_of_cycles() {
+    let mut graph = DependencyGraph::default();
+    for number in 0..100usize {
+        let prerequisites: Vec<JobId> = [(number + 1) % 100, (number + 7) % 100].map(id).to_vec();
+        graph.add_waiting(&id(number), &prerequisites, LONG_DUE);
+    }
+    for _ in 0..3 {
+        assert!(graph.update_urgencies().is_within_limit);
+        graph.record_end(&id(3), FinalState::Done);
+        graph.add_waiting(&id(3), &[id(4), id(10)], LONG_DUE);
+    }
+}
--- a/src/coordination/dependencies/mod.rs
+++ b/src/coordination/dependencies/mod.rs
@@ -55,8 +55,28 @@
         self.read_parts(shard_id);
         self.find_prerequisite_ends(shard_id);
         self.write_due_records(shard_id);
+        self.apply_inherited_urgencies(shard_id);
+    }
+
+    /// Updates the urgency that jobs inherit from their dependents, and applies it to the jobs of the queue.
+    pub(super) fn apply_inherited_urgencies(&mut self, shard_id: ShardId) {
+        self.update_urgencies(shard_id);
         if let Some(shard) = self.shards.get_mut(&shard_id) {
-            shard.update_inherited_urgency();
+            shard.apply_inherited_urgencies();
+        }
+    }
+
+    /// Updates the urgency that jobs inherit from their dependents.
+    fn update_urgencies(&mut self, shard_id: ShardId) {
+        let Some(shard) = self.shards.get_mut(&shard_id) else { return };
+        let update = shard.waiting_jobs.update_urgencies();
+        self.statistics.record_urgency_update(&update);
+        if !update.is_within_limit {
+            log::error!(
+                "invariant violated: shard {shard_id}: an update of inherited urgencies made {} visits",
+                update.visits
+            );
+            self.calls.record_invariant_violation();
         }
     }
 }
--- a/src/coordination/dependencies/waiting_records.rs
+++ b/src/coordination/dependencies/waiting_records.rs
@@ -19,6 +19,7 @@
 impl Controller {
     /// Writes or reads the due records of waiting jobs, as far as the rate limits allow.
     pub(super) fn write_due_records(&mut self, shard_id: ShardId) {
+        self.update_urgencies(shard_id);
         let (now, retry_pause) = (self.now, self.settings.properties.progress_interval);
         let Some(shard) = self.shards.get(&shard_id).filter(|shard| shard.waiting_jobs.has_due_records()) else {
             return;
@@ -232,7 +233,7 @@
         let id = record.job.id.clone();
         let waiting = shard.waiting_jobs.remove_waiting_job(&id);
         shard.accept_job(record, version, now);
-        shard.update_inherited_urgency();
+        self.apply_inherited_urgencies(shard_id);
         let Some(mut waiting) = waiting else { return };
         if waiting.is_cancel_requested() {
             // The user has asked to cancel the job while the release was being written.
--- a/src/coordination/request_statistics.rs
+++ b/src/coordination/request_statistics.rs
@@ -6,6 +6,7 @@
 use super::placement::PreemptionRound;
 use crate::protocol::{BusyReason, Reply};
 use crate::time::{Span, Time};
+use crowstall_dependencies::UrgencyUpdate;
 use hdrhistogram::Histogram;
 use std::collections::BTreeMap;
 use std::fmt::Display;
@@ -38,6 +39,8 @@
     preemption_inspections: u64,
     /// Number of rounds of preemption that ended at their limit.
     cut_off_preemption_rounds: u64,
+    /// Largest number of jobs and dependencies visited by one update of inherited urgencies.
+    max_urgency_visits: usize,
     /// Time at which the statistics were last logged.
     logged_at: Time,
 }
@@ -57,6 +60,7 @@
             longest_tick_interval: Span::ZERO,
             preemption_inspections: 0,
             cut_off_preemption_rounds: 0,
+            max_urgency_visits: 0,
             logged_at: now,
         }
     }
@@ -100,6 +104,11 @@
         self.cut_off_preemption_rounds += u64::from(round.is_cut_off);
     }
 
+    /// Records an update of inherited urgencies.
+    pub fn record_urgency_update(&mut self, update: &UrgencyUpdate) {
+        self.max_urgency_visits = self.max_urgency_visits.max(update.visits);
+    }
+
     /// Logs the statistics and resets them if [`LOG_INTERVAL`] has passed. Logs nothing if there were no replies.
     fn log_if_due(&mut self, now: Time) {
         if now.since(self.logged_at) < LOG_INTERVAL {
@@ -111,7 +120,8 @@
                  with prerequisites: {}; unexpected answers to forwarded requests: {}; worker leases renewed without \
                  stopping all tasks of ended jobs: {}; latency of the state service: median {} ms, p99 {} ms, \
                  maximum {} ms of {} calls; longest interval between ticks: {} ms; machines and attempts inspected in \
-                 search of room for waiting tasks: {}; rounds of preemption ended at their limit: {}",
+                 search of room for waiting tasks: {}; rounds of preemption ended at their limit: {}; most jobs and dependencies \
+                 visited by an update of inherited urgencies: {}",
                 format_counts(&self.replies),
                 format_counts(&self.busy_replies),
                 format_counts(&self.dependent_replies),
@@ -123,7 +133,8 @@
                 self.state_latencies.len(),
                 self.longest_tick_interval.as_millis(),
                 self.preemption_inspections,
-                self.cut_off_preemption_rounds
+                self.cut_off_preemption_rounds,
+                self.max_urgency_visits
             );
         }
         *self = RequestStatistics::new(now);
--- a/src/coordination/shard/waiting_jobs.rs
+++ b/src/coordination/shard/waiting_jobs.rs
@@ -49,9 +49,9 @@
         self.leadership.overlap.as_ref().is_none_or(|overlap| overlap.may_record_cancelled(now))
     }
 
-    /// Updates the inherited urgency of jobs whose dependent jobs have changed, and has the queue sorted again if any
+    /// Applies changes of the urgency that jobs inherit from their dependents, and has the queue sorted again if any
     /// differs.
-    pub(in crate::coordination) fn update_inherited_urgency(&mut self) {
+    pub(in crate::coordination) fn apply_inherited_urgencies(&mut self) {
         for id in self.waiting_jobs.take_changed_urgencies() {
             let inherited_urgency = self.waiting_jobs.inherited_urgency(&id);
             if let Some(job) = self.jobs.get_mut(&id)
--- a/src/coordination/shard_recovery/loading.rs
+++ b/src/coordination/shard_recovery/loading.rs
@@ -148,6 +148,7 @@
              serving requests"
         );
         let early_heartbeats = std::mem::take(&mut shard.loading.early_heartbeats);
+        self.apply_inherited_urgencies(id);
         for EarlyHeartbeat { requester, heartbeat } in early_heartbeats {
             self.handle_heartbeat(requester, heartbeat);
         }
--- a/src/coordination/waiting_jobs/mod.rs
+++ b/src/coordination/waiting_jobs/mod.rs
@@ -10,7 +10,7 @@
 use crate::protocol::state::Entry;
 use crate::storage::records::LiveRecord;
 use crate::time::{Span, Time};
-use crowstall_dependencies::{DependencyGraph, DependencyStatus, Urgency};
+use crowstall_dependencies::{DependencyGraph, DependencyStatus, Urgency, UrgencyUpdate};
 use final_record_scan::{FinalRecordScan, ScannedPage};
 use partially_loaded::PartiallyLoadedJobs;
 use record_steps::WriteOrder;
@@ -80,13 +80,18 @@
         }
     }
 
-    /// Returns the urgency of a job combined with the urgency inherited from the jobs that depend on it, or `None` if
-    /// the job neither waits nor has dependents.
+    /// Returns the urgency of a job combined with the urgency inherited from the jobs that depend on it, as of the last
+    /// update, or `None` if the job neither waits nor has dependents.
     pub fn inherited_urgency(&self, job: &JobId) -> Option<Urgency> {
         self.graph.inherited_urgency(job)
     }
 
-    /// Returns the jobs whose inherited urgency has changed since the previous call.
+    /// Recomputes the inherited urgency of the jobs that are affected by changes since the previous update.
+    pub(in crate::coordination) fn update_urgencies(&mut self) -> UrgencyUpdate {
+        self.graph.update_urgencies()
+    }
+
+    /// Returns the jobs whose inherited urgency has changed since the previous call, as of the last update.
     pub(in crate::coordination) fn take_changed_urgencies(&mut self) -> HashSet<JobId> {
         self.graph.take_changed_urgencies()
     }
