Plan only machines that exist, were requested or can be requested now

Cause: plan_rental added one bin for each machine that a job could use, up to 100,000 for one job, though the cloud is asked for at most 50 machines of a class at a time. Class: an allocation whose size is a user's number.

Fix: one place, FleetState::max_additional_machines, says how many machines of a class may be requested now. Plan and request both use it, so a plan has a bin for each machine that is up, booting or requested, and at most 50 more of each class. What does not fit is left to the next plan, which follows the cloud's answer at once; the requests themselves are those of before. The number of bins is checked at run time and the largest of a minute is logged.

--- a/src/coordination/cloud.rs
+++ b/src/coordination/cloud.rs
@@ -85,6 +85,11 @@
         self.catalog.iter().flatten()
     }
 
+    /// Returns the number of classes of machines that can be rented: each type in each of its zones, spot or on-demand.
+    pub fn count_classes(&self) -> usize {
+        2 * self.catalog().map(|machine_type| machine_type.zones.len()).sum::<usize>()
+    }
+
     /// Returns the machine types by name.
     pub fn types(&self) -> &HashMap<Name, MachineType> {
         &self.types
--- a/src/coordination/rentals.rs
+++ b/src/coordination/rentals.rs
@@ -6,22 +6,23 @@
 use super::shard::{BootingMachine, Rental};
 use crate::model::{MachineId, ShardId};
 use crate::protocol::CallError;
-use crate::protocol::cloud::{CloudAnswer, CloudCall, MAX_MACHINES_PER_RENTAL};
+use crate::protocol::cloud::{CloudAnswer, CloudCall};
 
 impl Controller {
-    /// Adds a rental to the shard's requests.
+    /// Adds a rental to the shard's requests. It has at most [`max_additional_machines`] machines.
     ///
     /// A request that was not sent yet grows instead of a second one being made for the same class of machines. Calls
     /// to the cloud are limited, and the cloud either has machines of a class or it does not.
-    pub(super) fn add_rental(&mut self, id: ShardId, mut rental: Rental) {
+    ///
+    /// [`max_additional_machines`]: super::shard::FleetState::max_additional_machines
+    pub(super) fn add_rental(&mut self, id: ShardId, rental: Rental) {
         let Some(shard) = self.shards.get_mut(&id) else { return };
         let class = rental.class();
         let mut unsent = shard.fleet.rentals.values_mut().filter(|other| other.is_unsent());
         if let Some(other) = unsent.find(|other| other.is_of(&class)) {
-            other.count = (other.count + rental.count).min(MAX_MACHINES_PER_RENTAL);
+            other.count += rental.count;
             return;
         }
-        rental.count = rental.count.min(MAX_MACHINES_PER_RENTAL);
         self.counter += 1;
         // The name is the idempotency key of the request and unique for ever: no other leadership term has this
         // revision, and no other request of this process has this counter value.
--- a/src/coordination/request_statistics.rs
+++ b/src/coordination/request_statistics.rs
@@ -41,6 +41,8 @@
     cut_off_preemption_rounds: u64,
     /// Largest number of jobs and dependencies visited by one update of inherited urgencies.
     max_urgency_visits: usize,
+    /// Largest number of machines in one plan of the fleet: those that exist, were requested or are to be rented.
+    max_planned_machines: usize,
     /// Time at which the statistics were last logged.
     logged_at: Time,
 }
@@ -61,6 +63,7 @@
             preemption_inspections: 0,
             cut_off_preemption_rounds: 0,
             max_urgency_visits: 0,
+            max_planned_machines: 0,
             logged_at: now,
         }
     }
@@ -109,6 +112,11 @@
         self.max_urgency_visits = self.max_urgency_visits.max(update.visits);
     }
 
+    /// Records the number of machines in a plan of the fleet.
+    pub fn record_plan(&mut self, machines: usize) {
+        self.max_planned_machines = self.max_planned_machines.max(machines);
+    }
+
     /// Logs the statistics and resets them if [`LOG_INTERVAL`] has passed. Logs nothing if there were no replies.
     fn log_if_due(&mut self, now: Time) {
         if now.since(self.logged_at) < LOG_INTERVAL {
@@ -121,7 +129,7 @@
                  stopping all tasks of ended jobs: {}; latency of the state service: median {} ms, p99 {} ms, \
                  maximum {} ms of {} calls; longest interval between ticks: {} ms; machines and attempts inspected in \
                  search of room for waiting tasks: {}; rounds of preemption ended at their limit: {}; most jobs and dependencies \
-                 visited by an update of inherited urgencies: {}",
+                 visited by an update of inherited urgencies: {}; most machines in a plan of the fleet: {}",
                 format_counts(&self.replies),
                 format_counts(&self.busy_replies),
                 format_counts(&self.dependent_replies),
@@ -134,7 +142,8 @@
                 self.longest_tick_interval.as_millis(),
                 self.preemption_inspections,
                 self.cut_off_preemption_rounds,
-                self.max_urgency_visits
+                self.max_urgency_visits,
+                self.max_planned_machines
             );
         }
         *self = RequestStatistics::new(now);
--- a/src/coordination/scale_out/mod.rs
+++ b/src/coordination/scale_out/mod.rs
@@ -15,6 +15,7 @@
 use super::controller::Controller;
 use super::shard::{Rental, RequestedOffer};
 use crate::model::{MachineType, Name, ShardId};
+use crate::protocol::cloud::MAX_MACHINES_PER_RENTAL;
 use crate::time::Span;
 use std::collections::HashMap;
 
@@ -66,8 +67,10 @@
         let Some(shard) = self.shards.get(&id) else { return };
         let demands = self.demands(shard);
         let mut bins = self.packing_bins(shard);
+        let known_machines = bins.len();
         let unmet = unmet_demands(demands, &mut bins, self.cloud.types());
         let rentals = self.plan_rentals(id, unmet, &mut bins);
+        self.check_plan_size(id, known_machines, bins.len());
         let spare_machines = bins.into_iter().filter(|bin| !bin.used).filter_map(|bin| bin.id).collect();
         let Some(shard) = self.shards.get_mut(&id) else { return };
         shard.fleet.spare_machines = spare_machines;
@@ -77,6 +80,20 @@
         self.send_rentals(id);
     }
 
+    /// Records the size of a plan, and checks that its bins stand for machines that exist, were requested, or can be
+    /// requested now, however many machines the jobs could use.
+    fn check_plan_size(&mut self, id: ShardId, known_machines: usize, bins: usize) {
+        self.statistics.record_plan(bins);
+        let requested_offers = self.shards.get(&id).map_or(0, |shard| shard.fleet.requested_offers.len());
+        let max_rented = self.cloud.count_classes() * MAX_MACHINES_PER_RENTAL as usize;
+        if bins > known_machines + requested_offers + max_rented {
+            log::error!(
+                "invariant violated: shard {id}: a plan of the fleet has {bins} bins for {known_machines} machines"
+            );
+            self.calls.record_invariant_violation();
+        }
+    }
+
     /// Chooses rentals for the demand that does not fit into the bins, and adds the machines to be rented to the bins.
     fn plan_rentals(&mut self, id: ShardId, unmet: Vec<Demand>, bins: &mut Vec<PackingBin>) -> Vec<Rental> {
         let wanted_slots = cumulative_slots(&unmet);
@@ -88,21 +105,35 @@
             let demand = Demand { count, ..demand };
             let count = self.request_offers(id, &demand, bins);
             if count > 0 {
-                self.plan_rental(Demand { count, ..demand }, wanted_slots, bins, &mut rentals);
+                self.plan_rental(id, &Demand { count, ..demand }, wanted_slots, bins, &mut rentals);
             }
         }
         rentals
     }
 
-    /// Chooses the class and number of machines to rent for one demand, and packs the demand into them.
-    fn plan_rental(&self, demand: Demand, wanted_slots: u32, bins: &mut Vec<PackingBin>, rentals: &mut Vec<Rental>) {
-        let Some(class) = self.cheapest_class(&demand, wanted_slots, bins) else { return };
+    /// Chooses the class and number of machines to rent for one demand, and packs the demand into them. Machines beyond
+    /// those that may be requested now are left to later plans.
+    fn plan_rental(
+        &self,
+        id: ShardId,
+        demand: &Demand,
+        wanted_slots: u32,
+        bins: &mut Vec<PackingBin>,
+        rentals: &mut Vec<Rental>,
+    ) {
+        let Some(shard) = self.shards.get(&id) else { return };
+        let Some(class) = self.cheapest_class(demand, wanted_slots, bins) else { return };
         let Some(machine_type) = self.cloud.machine_type(&class.kind) else { return };
         let tasks_per_machine =
-            machine_type.capacity.slots(&demand.spec.needs).max(1) * demand.tasks_per_slot.on_new_machine;
-        let count = demand.count.div_ceil(tasks_per_machine);
+            machine_type.capacity.slots(&demand.spec.needs).max(1).saturating_mul(demand.tasks_per_slot.on_new_machine);
+        let planned = rentals.iter().find(|rental| rental.is_of(&class)).map_or(0, |rental| rental.count);
+        let allowed = shard.fleet.max_additional_machines(&class).saturating_sub(planned);
+        let count = demand.count.div_ceil(tasks_per_machine).min(allowed);
+        if count == 0 {
+            return;
+        }
         bins.extend((0..count).map(|_| PackingBin::expected(class.clone(), machine_type.capacity)));
-        pack(bins, &demand, self.cloud.types());
+        pack(bins, demand, self.cloud.types());
         match rentals.iter_mut().find(|rental| rental.is_of(&class)) {
             Some(rental) => rental.count += count,
             None => rentals.push(Rental::new(class, count)),
--- a/src/coordination/shard/fleet.rs
+++ b/src/coordination/shard/fleet.rs
@@ -1,6 +1,7 @@
 //! Machines of a shard outside its running fleet: requested, booting, being transferred, or gone.
 
 use crate::model::{MachineId, Name, Revision};
+use crate::protocol::cloud::MAX_MACHINES_PER_RENTAL;
 use crate::protocol::peers::MachineOffer;
 use crate::time::{Span, Time};
 use crowstall_reconciliation::MachineClass;
@@ -35,6 +36,14 @@
 }
 
 impl FleetState {
+    /// Returns the number of further machines of a class that may be requested now: a request names at most
+    /// [`MAX_MACHINES_PER_RENTAL`] machines, and a class has at most one request that was not sent yet.
+    pub fn max_additional_machines(&self, class: &MachineClass) -> u32 {
+        let unsent = self.rentals.values().filter(|rental| rental.is_unsent() && rental.is_of(class));
+        let requested: u32 = unsent.map(|rental| rental.count).sum();
+        MAX_MACHINES_PER_RENTAL.saturating_sub(requested)
+    }
+
     /// Drops all unsent requests for machines of the class that `refused` requested in vain. Otherwise these requests
     /// would count as capacity until each was refused as well, and no machines of other classes would be rented.
     pub fn drop_unsent_rentals(&mut self, refused: &Rental) {
--- a/tests/simulation/controllers.rs
+++ b/tests/simulation/controllers.rs
@@ -330,12 +330,14 @@
     /// Passes an event to a controller and carries out the resulting actions.
     pub(super) fn deliver(&mut self, node: usize, event: Event) {
         let clock = self.clock(node);
+        self.event_begins();
         let Some(process) = &mut self.controllers[node].process else { return };
         if let Some(digest) = &mut self.digest {
             digest.event(self.now, node, &event);
         }
         let inspections_before = process.preemption_inspections();
         let actions = process.handle(clock, event);
+        self.event_ended();
         for line in controller_log::take_lines() {
             self.trace_line(|| format!("controller {node}: {line}"));
         }
--- /dev/null
+++ b/tests/simulation/event_meter.rs
@@ -0,0 +1,39 @@
+//! Measurement of what a controller takes to handle each event.
+
+use super::*;
+
+/// Measures the memory that the controllers take to handle each event. The functions come from the test, since only a
+/// test as a whole can have an allocator that counts.
+#[derive(Clone, Copy)]
+pub struct EventMeter {
+    /// Called before a controller handles an event.
+    begin_event: fn(),
+    /// Returns the most bytes that were allocated at once since `begin_event`, beyond those at that time.
+    bytes_of_event: fn() -> usize,
+    most_bytes: usize,
+}
+
+impl EventMeter {
+    pub fn new(begin_event: fn(), bytes_of_event: fn() -> usize) -> EventMeter {
+        EventMeter { begin_event, bytes_of_event, most_bytes: 0 }
+    }
+}
+
+impl Simulation {
+    pub(super) fn event_begins(&self) {
+        if let Some(meter) = &self.event_meter {
+            (meter.begin_event)();
+        }
+    }
+
+    pub(super) fn event_ended(&mut self) {
+        if let Some(meter) = &mut self.event_meter {
+            meter.most_bytes = meter.most_bytes.max((meter.bytes_of_event)());
+        }
+    }
+
+    /// Returns the most bytes that a controller took to handle an event so far.
+    pub fn most_bytes_of_an_event(&self) -> usize {
+        self.event_meter.map_or(0, |meter| meter.most_bytes)
+    }
+}
--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -14,6 +14,7 @@
 mod controller_log;
 pub mod controllers;
 pub mod digest;
+pub mod event_meter;
 pub mod events;
 pub mod faults;
 mod heartbeat_copies;
@@ -93,6 +94,8 @@
     controllers: Vec<controllers::SimulatedController>,
     /// Processor of each controller. `None`: handling an event takes no time.
     pub processor: Option<processor::Processor>,
+    /// Measurement of the memory that each event takes. `None`: it is not measured.
+    pub event_meter: Option<event_meter::EventMeter>,
     /// Connection to the controllers if they run as separate processes.
     remote: Option<Box<dyn remote::RemoteControllers>>,
     queue: events::EventQueue,
--- a/tests/simulation/setup.rs
+++ b/tests/simulation/setup.rs
@@ -21,6 +21,7 @@
             settings: Vec::new(),
             controllers: Vec::new(),
             processor: None,
+            event_meter: None,
             remote: None,
             queue: BTreeMap::new(),
             sequence_number: 0,
