Handle the tasks of a job as ranges when its record is loaded

Cause: JobProgress::of_record took a step and an insertion for each of up to 100,000 tasks of each record, and an event loads up to 500 records; so did releasing unreconciled tasks. Planning the fleet took a step for each slot of a job's team usage, for each task packed into a bin and for each term of a harmonic sum, and counted the machines of a zone anew for each class.

Fix: sets of tasks are complemented, divided and united by ranges; amounts are multiplied; the harmonic sum is approximated beyond 1000 terms; machines are counted by zone once for each choice. Sums of task counts no longer overflow.

For the steps of planning no test counted before; the new operations are compared with plain ones.

--- a/crates/model/src/model/resources.rs
+++ b/crates/model/src/model/resources.rs
@@ -36,6 +36,10 @@
         Quantity(self.0.saturating_sub(other.0))
     }
 
+    fn saturating_mul(self, count: u32) -> Quantity {
+        Quantity(self.0.saturating_mul(u64::from(count)))
+    }
+
     /// Returns how many times `part` fits into this amount, or `u64::MAX` if `part` is zero.
     fn divided_by(self, part: Quantity) -> u64 {
         self.0.checked_div(part.0).unwrap_or(u64::MAX)
@@ -68,6 +72,15 @@
         }
     }
 
+    /// Returns the sum of `count` such amounts.
+    pub fn times(&self, count: u32) -> Resources {
+        Resources {
+            cpus: self.cpus.saturating_mul(count),
+            gpus: self.gpus.saturating_mul(count),
+            memory: self.memory.saturating_mul(count),
+        }
+    }
+
     /// Returns the difference of `self` and `other`, resource by resource; 0 where `other` has more.
     pub fn minus(&self, other: &Resources) -> Resources {
         Resources {
--- a/src/coordination/controller.rs
+++ b/src/coordination/controller.rs
@@ -175,8 +175,8 @@
         self.calls.invariant_violations()
     }
 
-    /// Returns how many jobs and machines were inspected so far while handling heartbeats: a measure of the cost of
-    /// heartbeats that does not depend on the speed of the machine.
+    /// Returns how many jobs, machines and ranges of tasks were inspected so far while handling heartbeats and loading
+    /// records: a measure of their cost that does not depend on the speed of the machine.
     pub fn inspections(&self) -> u64 {
         self.shards.values().map(|shard| shard.inspections.get()).sum()
     }
--- a/src/coordination/forecasts/capacity.rs
+++ b/src/coordination/forecasts/capacity.rs
@@ -88,7 +88,7 @@
         let cpus_of_task = spec.needs.cpus.value();
         let mut capacity = AvailableCapacity::default();
         for group in self.usable_groups(spec) {
-            let slots = group.count * group.capacity.slots(&spec.needs);
+            let slots = group.count.saturating_mul(group.capacity.slots(&spec.needs));
             let cpus = f64::from(slots) * group.free_cpu_fraction * cpus_of_task;
             match group.time_until_up {
                 None => capacity.cpus += cpus,
--- a/src/coordination/scale_out/demand.rs
+++ b/src/coordination/scale_out/demand.rs
@@ -76,9 +76,7 @@
         };
         let max_slots = self.slots_within_quota(job, team_usage);
         let slots = wanted.div_ceil(tasks_per_slot.on_running_machine).min(max_slots);
-        for _ in 0..slots {
-            *team_usage = team_usage.plus(&job.spec.needs);
-        }
+        *team_usage = team_usage.plus(&job.spec.needs.times(slots));
         // The room of a bin excludes what running services use, so tasks that are already running need no room.
         let already_placed = if job.spec.kind == JobKind::Service { running } else { 0 };
         let max_tasks = max_slots.saturating_mul(tasks_per_slot.on_new_machine);
@@ -112,8 +110,8 @@
         let is_healthy_service = |job: &&&Job| job.spec.kind == JobKind::Service && !job.failures.fails_everywhere;
         let services = || jobs.iter().filter(is_healthy_service);
         let newest = services().max_by_key(|job| &job.order)?;
-        let tasks: u32 = services().map(|job| job.spec.tasks).sum();
-        let count = ((self.settings.properties.headroom - 1.0) * f64::from(tasks)).ceil() as u32;
+        let tasks: f64 = services().map(|job| f64::from(job.spec.tasks)).sum();
+        let count = ((self.settings.properties.headroom - 1.0) * tasks).ceil() as u32;
         (count > 0).then(|| Demand {
             spec: newest.spec.clone(),
             count,
--- a/src/coordination/scale_out/mod.rs
+++ b/src/coordination/scale_out/mod.rs
@@ -163,7 +163,7 @@
         .rev()
         .map(|demand| {
             let sum = sums.entry((demand.spec.kind, demand.spec.spot)).or_default();
-            *sum += demand.count.div_ceil(demand.tasks_per_slot.on_new_machine);
+            *sum = sum.saturating_add(demand.count.div_ceil(demand.tasks_per_slot.on_new_machine));
             *sum
         })
         .collect();
--- a/src/coordination/scale_out/packing.rs
+++ b/src/coordination/scale_out/packing.rs
@@ -51,9 +51,7 @@
             None => demand.tasks_per_slot.on_new_machine,
         };
         let slots = self.room.slots(&demand.spec.needs).min(count.div_ceil(tasks_per_slot));
-        for _ in 0..slots {
-            self.room = self.room.minus(&demand.spec.needs);
-        }
+        self.room = self.room.minus(&demand.spec.needs.times(slots));
         self.used |= slots > 0;
         slots.saturating_mul(tasks_per_slot)
     }
--- a/src/coordination/scale_out/rental_choice.rs
+++ b/src/coordination/scale_out/rental_choice.rs
@@ -2,12 +2,16 @@
 
 use super::super::controller::Controller;
 use super::{Demand, PackingBin};
-use crate::model::{JobKind, JobSpec, MachineType};
+use crate::model::{JobKind, JobSpec, MachineType, Name};
 use crowstall_reconciliation::MachineClass;
+use std::collections::HashMap;
 
 /// Tolerance within which costs count as equal, since sums of floating-point numbers are not exact.
 const COST_TOLERANCE: f64 = 1e-9;
 
+/// Number of reciprocals that are summed one by one; the rest of a longer sum is approximated.
+const MAX_SUMMED_RECIPROCALS: u32 = 1000;
+
 /// Class of machines that could be rented for a demand.
 struct RentalOption {
     /// Class of the machines.
@@ -41,13 +45,14 @@
         wanted_slots: u32,
         bins: &[PackingBin],
     ) -> Option<MachineClass> {
+        let machines_by_zone = count_by_zone(bins);
         let mut best: Option<RentalOption> = None;
         for machine_type in self.cloud.catalog() {
             if !demand.spec.allows_type(&machine_type.name) || !demand.spec.needs.fits_in(&machine_type.capacity) {
                 continue;
             }
             for spot in [false, true].into_iter().filter(|spot| may_rent(demand, *spot)) {
-                for option in self.rental_options(&demand.spec, wanted_slots, bins, machine_type, spot) {
+                for option in self.rental_options(&demand.spec, wanted_slots, &machines_by_zone, machine_type, spot) {
                     if best.as_ref().is_none_or(|best| option.is_better_than(best)) {
                         best = Some(option);
                     }
@@ -63,7 +68,7 @@
         &self,
         spec: &JobSpec,
         wanted_slots: u32,
-        bins: &[PackingBin],
+        machines_by_zone: &HashMap<&Name, usize>,
         machine_type: &MachineType,
         spot: bool,
     ) -> Vec<RentalOption> {
@@ -75,13 +80,22 @@
             .map(|class| RentalOption {
                 boots_late: self.cloud.boot_statistics().is_unreliable(&class.kind, &class.zone, self.now),
                 cost,
-                machines_in_zone: bins.iter().filter(|bin| bin.class.zone == class.zone).count(),
+                machines_in_zone: machines_by_zone.get(&class.zone).copied().unwrap_or_default(),
                 class,
             })
             .collect()
     }
 }
 
+/// Returns the number of machines in the plan in each zone.
+fn count_by_zone(bins: &[PackingBin]) -> HashMap<&Name, usize> {
+    let mut counts = HashMap::new();
+    for bin in bins {
+        *counts.entry(&bin.class.zone).or_default() += 1;
+    }
+    counts
+}
+
 /// Returns `true` if spot or, for `spot == false`, on-demand machines may be rented for a demand.
 fn may_rent(demand: &Demand, spot: bool) -> bool {
     if spot { demand.spec.spot } else { !(demand.spec.spot && demand.waits_for_spot) }
@@ -95,9 +109,19 @@
     // them there are: of n tasks that end at random, the last one runs on average for the n-th harmonic number times as
     // long as a single task.
     let time_factor: f64 = match spec.kind {
-        JobKind::Service => (1..=slots.min(wanted_slots)).map(|n| 1.0 / f64::from(n)).sum(),
+        JobKind::Service => harmonic_number(slots.min(wanted_slots)),
         JobKind::Array => 1.0,
     };
     let price = if spot { machine_type.spot_price } else { machine_type.price };
     price * f64::from(machines) * time_factor
 }
+
+/// Returns the sum of the reciprocals of the numbers from 1 to `n`, with an error of less than 1e-12.
+fn harmonic_number(n: u32) -> f64 {
+    let summed: f64 = (1..=n.min(MAX_SUMMED_RECIPROCALS)).map(|n| 1.0 / f64::from(n)).sum();
+    if n <= MAX_SUMMED_RECIPROCALS {
+        return summed;
+    }
+    let euler_maclaurin = |n: f64| n.ln() + 0.5 / n - 1.0 / (12.0 * n * n);
+    summed + euler_maclaurin(f64::from(n)) - euler_maclaurin(f64::from(MAX_SUMMED_RECIPROCALS))
+}
--- a/src/coordination/shard/job.rs
+++ b/src/coordination/shard/job.rs
@@ -120,17 +120,15 @@
         let tasks = record.job.tasks;
         let start_watermark = record.start_watermark.min(tasks);
         let done = RangeSet::parse(&record.done, tasks).unwrap_or_default();
-        let (mut pending, mut unreconciled) = (RangeSet::new(), RangeSet::new());
-        for task in (0..tasks).filter(|task| !done.contains(*task)) {
-            if task < start_watermark {
-                unreconciled.insert(task)
-            } else {
-                pending.insert(task)
-            };
-        }
+        let (unreconciled, pending) = done.complement(tasks).split_at(start_watermark);
         JobProgress { pending, unreconciled, done, running: BTreeMap::new() }
     }
 
+    /// Returns the number of ranges of tasks, without those that run.
+    pub fn count_ranges(&self) -> usize {
+        [&self.pending, &self.unreconciled, &self.done].map(RangeSet::count_ranges).iter().sum()
+    }
+
     /// Returns `true` if the attempt is the current attempt of the task.
     pub fn is_current(&self, task: &TaskId, attempt: AttemptNumber) -> bool {
         self.running.get(&task.task.0).is_some_and(|location| location.attempt == attempt)
@@ -157,9 +155,7 @@
 
     /// Makes all unreconciled tasks pending, since they can't be running on any machine.
     pub(super) fn release_unreconciled(&mut self) {
-        for task in std::mem::take(&mut self.unreconciled).iter() {
-            self.pending.insert(task);
-        }
+        self.pending.add_all(std::mem::take(&mut self.unreconciled));
     }
 }
 
--- a/src/coordination/shard/mod.rs
+++ b/src/coordination/shard/mod.rs
@@ -84,7 +84,8 @@
     pub finished: Vec<JobId>,
     /// Runtime samples that the forecast learner has not consumed yet. `None` if forecasts are disabled.
     pub runtime_samples: Option<RuntimeSamples>,
-    /// Number of jobs and machines that were inspected while heartbeats were handled.
+    /// Number of jobs, machines and ranges of tasks that were inspected while heartbeats were handled and records were
+    /// loaded.
     pub inspections: Cell<u64>,
     /// Number of machines and attempts that were inspected in search of room for waiting tasks.
     pub preemption_inspections: u64,
@@ -256,6 +257,7 @@
         }
         let waiting_since = self.recovery.acquired_at();
         let progress = JobProgress::of_record(&record);
+        self.count_inspections(progress.count_ranges());
         self.insert_job(record, version, progress, waiting_since);
     }
 
@@ -296,7 +298,8 @@
         }
     }
 
-    /// Adds to the number of jobs and machines that were inspected while heartbeats were handled.
+    /// Adds to the number of jobs, machines and ranges of tasks that were inspected while heartbeats were handled and
+    /// records were loaded.
     pub fn count_inspections(&self, count: usize) {
         self.inspections.set(self.inspections.get() + count as u64);
     }
--- a/src/storage/range_set.rs
+++ b/src/storage/range_set.rs
@@ -47,6 +47,53 @@
         self.ranges.get(index).is_some_and(|range| range.start <= n)
     }
 
+    /// Returns the number of ranges, which is a measure of the cost of operations on the whole set.
+    pub fn count_ranges(&self) -> usize {
+        self.ranges.len()
+    }
+
+    /// Returns the set of the numbers below `end` that are not members.
+    pub fn complement(&self, end: u32) -> RangeSet {
+        let mut gaps = Vec::new();
+        let mut gap_start = 0;
+        for range in self.ranges.iter().take_while(|range| range.start < end) {
+            if gap_start < range.start {
+                gaps.push(gap_start..range.start);
+            }
+            gap_start = range.end;
+        }
+        if gap_start < end {
+            gaps.push(gap_start..end);
+        }
+        RangeSet { ranges: gaps }
+    }
+
+    /// Divides the set into the members below `number` and the other members.
+    pub fn split_at(mut self, number: u32) -> (RangeSet, RangeSet) {
+        let index = self.ranges.partition_point(|range| range.end <= number);
+        let mut rest = self.ranges.split_off(index);
+        if let Some(first) = rest.first_mut()
+            && first.start < number
+        {
+            self.ranges.push(first.start..number);
+            first.start = number;
+        }
+        (self, RangeSet { ranges: rest })
+    }
+
+    /// Adds all members of the other set.
+    pub fn add_all(&mut self, other: RangeSet) {
+        let mut sorted = std::mem::take(&mut self.ranges);
+        sorted.extend(other.ranges);
+        sorted.sort_unstable_by_key(|range| range.start);
+        for range in sorted {
+            match self.ranges.last_mut() {
+                Some(last) if range.start <= last.end => last.end = last.end.max(range.end),
+                _ => self.ranges.push(range),
+            }
+        }
+    }
+
     /// Returns the members in ascending order.
     pub fn iter(&self) -> impl Iterator<Item = u32> + '_ {
         self.ranges.iter().flat_map(Clone::clone)
--- a/tests/large_jobs.rs
+++ b/tests/large_jobs.rs
@@ -117,3 +117,23 @@
     println!("at most {bytes} bytes in an event");
     assert!(bytes <= MAX_EVENT_BYTES, "an event took {bytes} bytes");
 }
+
+/// Guards against a step for each task of the jobs whose records are loaded: an event loads up to 500 records, and each
+/// may be of a job with 100,000 tasks.
+#[test]
+fn loading_large_arrays_takes_work_for_their_records_alone() {
+    const ARRAYS: u32 = 30;
+    let mut simulation = metered_cluster(3);
+    for id in 0..ARRAYS {
+        simulation.add_user(spec(id, JobKind::Array, "free", MAX_TASKS, 2.0), 3 * SEC, 3 * SEC, None, false);
+    }
+    simulation.run_until(30 * SEC);
+    let leader = simulation.current_leader();
+    simulation.crash(leader, 5 * SEC);
+    simulation.run_for(30 * SEC);
+    simulation.assert_no_violations();
+    let inspections = simulation.most_inspections_of_an_event();
+    println!("at most {inspections} inspections in an event");
+    assert!(!simulation.completed.is_empty(), "no task was done");
+    assert!(inspections <= u64::from(MAX_TASKS) / 10, "an event took {inspections} inspections");
+}
--- a/tests/protocol.rs
+++ b/tests/protocol.rs
@@ -277,6 +277,21 @@
     assert!(parsed_inputs > 1000, "only {parsed_inputs} inputs were parsed, although some are unchanged");
 }
 
+/// Checks the operations on a set as a whole. `at` is the bound of the complement and the number at which to divide.
+fn check_whole_sets(ranges: &RangeSet, plain: &BTreeSet<u32>, at: u32) {
+    let complement = ranges.complement(at);
+    assert!(complement.iter().eq((0..at).filter(|n| !plain.contains(n))), "complement of {ranges} below {at}");
+    let (below, rest) = ranges.clone().split_at(at);
+    assert!(below.iter().eq(plain.range(..at).copied()), "{ranges} below {at}");
+    assert!(rest.iter().eq(plain.range(at..).copied()), "{ranges} from {at} on");
+    let mut all = rest;
+    all.add_all(below);
+    assert_eq!(&all, ranges);
+    all.add_all(complement);
+    assert!(all.iter().eq((0..at).chain(plain.range(at..).copied())), "{ranges} and its complement below {at}");
+    assert!(all.count_ranges() <= 1 + ranges.count_ranges(), "{all} is not in its shortest form");
+}
+
 #[test]
 fn range_sets_agree_with_plain_sets() {
     let mut rng = SmallRng::seed_from_u64(2);
@@ -294,6 +309,7 @@
             assert_eq!(ranges.contains(n), plain.contains(&n));
             assert_eq!(RangeSet::parse(&ranges.to_string(), 60).as_ref(), Some(&ranges));
         }
+        check_whole_sets(&ranges, &plain, rng.random_range(0..70));
         let part = ranges.truncated_to_bytes(40);
         assert!(part.to_string().len() <= 40 && part.iter().all(|n| ranges.contains(n)));
     }
--- a/tests/simulation/controllers.rs
+++ b/tests/simulation/controllers.rs
@@ -332,12 +332,14 @@
         let clock = self.clock(node);
         self.event_begins();
         let Some(process) = &mut self.controllers[node].process else { return };
+        let all_inspections_before = process.inspections();
         if let Some(digest) = &mut self.digest {
             digest.event(self.now, node, &event);
         }
         let inspections_before = process.preemption_inspections();
         let actions = process.handle(clock, event);
-        self.event_ended();
+        let all_inspections = process.inspections().saturating_sub(all_inspections_before);
+        self.event_ended(all_inspections);
         for line in controller_log::take_lines() {
             self.trace_line(|| format!("controller {node}: {line}"));
         }
