Show that late copies of commands start no task again, and refuse direct calls that would

It can't start the task here: only answers to heartbeats start tasks, and a worker drops an answer for which it no longer waits; direct calls, which are executed whenever they arrive, only stop tasks. That was true by convention; call_worker now refuses any other direct call and counts it as a violated invariant (not seen to fire).

Test: the simulation delivers half of all commands, forwarded requests and their answers a second time, 0.5 to 45 s late.

--- a/src/coordination/controller.rs
+++ b/src/coordination/controller.rs
@@ -269,8 +269,14 @@
     }
 
     /// Sends commands directly to the worker of a machine in a shard that this node leads, without waiting for its next
-    /// heartbeat.
+    /// heartbeat. A call that would start tasks is not sent, since copies of it may be executed at any later time.
     pub(super) fn call_worker(&mut self, shard: ShardId, machine: &MachineId, addr: SocketAddrV4, request: WorkerCall) {
+        if request.starts_tasks() {
+            log::error!(
+                "invariant violated: machine {machine}: a direct call would have started tasks; not sending it"
+            );
+            return self.calls.record_invariant_violation();
+        }
         let Some(leadership) = self.shards.get(&shard).map(Shard::leadership_term) else { return };
         let pending = PendingWorkerCall { leadership, machine: machine.clone() };
         self.calls.send_to_worker(pending, addr, request);
--- a/src/protocol/workers/commands.rs
+++ b/src/protocol/workers/commands.rs
@@ -118,6 +118,11 @@
 }
 
 impl WorkerCall {
+    /// Returns `true` if the call has a command that starts a task, which no direct call may have.
+    pub fn starts_tasks(&self) -> bool {
+        self.commands.iter().any(|command| matches!(command, Command::Run { .. }))
+    }
+
     /// Returns the HTTP request for this call.
     pub fn request(&self) -> Outgoing {
         Outgoing::post("/commands", &WireCall { commands: &self.commands, token: self.token, epoch: self.epoch })
--- a/tests/fault_combinations/main.rs
+++ b/tests/fault_combinations/main.rs
@@ -8,6 +8,7 @@
 mod controller_failures;
 mod disabled_safeguards;
 mod former_processes;
+mod late_copies;
 mod lease_renewals;
 mod machine_failures;
 mod network_failures;
--- a/tests/simulation/controllers.rs
+++ b/tests/simulation/controllers.rs
@@ -404,6 +404,7 @@
                 let Some(peer) = self.controllers.iter().position(|controller| controller.label == to) else { return };
                 let envelope = Envelope { from: self.controllers[node].label.clone(), message };
                 let bytes = peers::encode(&envelope);
+                self.copy_peer_message(peer, &envelope.message, &bytes);
                 if let Some(at) = self.packet_arrival(from, Endpoint::Controller(peer)) {
                     self.schedule(at, ScheduledEvent::PeerMessageArrives { node: peer, bytes });
                 }
--- a/tests/simulation/events.rs
+++ b/tests/simulation/events.rs
@@ -19,6 +19,8 @@
     CloudCallArrives { node: usize, incarnation: u64, call: OutboundCallId, request: CloudCall },
     /// A controller's call arrives at a worker.
     WorkerCallArrives { node: usize, incarnation: u64, call: OutboundCallId, machine: u32, request: WorkerCall },
+    /// A second copy of commands arrives at a worker.
+    CommandCopyArrives { machine: u32, copy: message_copies::CommandCopy },
     /// A controller's probe, a connection attempt, arrives at another controller.
     ProbeArrives { node: usize, incarnation: u64, call: OutboundCallId, to: usize },
     /// The answer to a controller's call arrives.
@@ -128,10 +130,12 @@
             }
             ScheduledEvent::WorkerCallArrives { node, incarnation, call, machine, request } => {
                 if let Some(answer) = self.execute_worker_call(machine, &request) {
+                    self.copy_commands(machine, message_copies::CommandCopy::DirectCall(request));
                     let event = Event::Worker { call, answer: Ok(answer) };
                     self.send_answer(node, incarnation, call, Endpoint::Machine(machine), event);
                 }
             }
+            ScheduledEvent::CommandCopyArrives { machine, copy } => self.command_copy_arrives(machine, copy),
             ScheduledEvent::ProbeArrives { node, incarnation, call, to } => {
                 // The machine of a crashed controller refuses the connection.
                 let event = Event::Probe { call, alive: self.is_up(to) };
--- a/tests/simulation/faults.rs
+++ b/tests/simulation/faults.rs
@@ -44,6 +44,7 @@
         self.one_way_partitions.clear();
         self.slow_links.clear();
         self.duplicate_heartbeats = None;
+        self.message_copies = None;
         self.request_storm_until = now;
         self.cloud.no_capacity_until = now;
         self.cloud.boot_time_factors = None;
--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -19,6 +19,7 @@
 pub mod faults;
 mod heartbeat_copies;
 pub mod malformed_requests;
+pub mod message_copies;
 pub mod network;
 pub mod processor;
 pub mod remote;
@@ -47,7 +48,7 @@
 use crowstall::coordination::{Action, ClientRequestId, Clock, Controller, Event, OutboundCallId};
 use crowstall::model::*;
 use crowstall::protocol::cloud::CloudCall;
-use crowstall::protocol::peers;
+use crowstall::protocol::peers::{self, PeerMessage};
 use crowstall::protocol::state::{Change, StateAnswer, StateCall};
 use crowstall::protocol::users::ClientRequest;
 use crowstall::protocol::workers::{TaskState, WorkerCall};
@@ -121,6 +122,8 @@
     /// End of the period in which copies of heartbeats are retained for delivery around the next change of leadership.
     pub heartbeats_retained_until: u64,
     retained_heartbeats: Vec<(RequestOrigin, ClientRequest)>,
+    /// Fault that delivers commands to workers, and forwarded requests and their answers, a second time.
+    pub message_copies: Option<TemporaryFault<MaxDelay>>,
     /// End of the period in which users send eight times as many requests.
     pub request_storm_until: u64,
     /// End of the period in which users send requests to all controllers after each change of their job's state, to
@@ -177,6 +180,8 @@
     pub consistency_checks: ConsistencyChecks,
     /// Submissions that have to be rejected.
     pub malformed_requests: MalformedRequests,
+    /// Second copies of commands to workers.
+    pub copies_of_commands: message_copies::CopiesOfCommands,
 }
 
 impl Observations {
@@ -195,6 +200,7 @@
         self.consistency_checks.deferred += other.consistency_checks.deferred;
         self.malformed_requests.answered += other.malformed_requests.answered;
         self.malformed_requests.rejected += other.malformed_requests.rejected;
+        self.copies_of_commands.add(other.copies_of_commands);
     }
 }
 
--- a/tests/simulation/safeguards.rs
+++ b/tests/simulation/safeguards.rs
@@ -41,4 +41,6 @@
     LeaseExpiryOfHungMachines,
     /// Invalid submissions are replaced by valid ones.
     RequestValidation,
+    /// Workers execute second copies of answers to heartbeats that they have already handled.
+    LateAnswersDropped,
 }
--- a/tests/simulation/setup.rs
+++ b/tests/simulation/setup.rs
@@ -34,6 +34,7 @@
             one_way_partitions: Vec::new(),
             slow_links: Vec::new(),
             duplicate_heartbeats: None,
+            message_copies: None,
             heartbeats_retained_until: 0,
             retained_heartbeats: Vec::new(),
             request_storm_until: 0,
--- a/tests/simulation/worker_commands.rs
+++ b/tests/simulation/worker_commands.rs
@@ -86,9 +86,11 @@
             worker.changed = true;
         }
         worker.lease_started_at = Some(sent_at);
+        let epoch = worker.epoch;
         self.trace_line(|| format!("machine {number}: lease renewed from {sent_at} with token {token}"));
         let commands = body["calls"].as_array().cloned().unwrap_or_default();
         self.execute_commands(number, &commands);
+        self.copy_commands(number, message_copies::CommandCopy::HeartbeatAnswer { epoch, token, commands });
     }
 
     /// Sends the next heartbeat to the controller that was named in the answer.
@@ -105,7 +107,7 @@
         }
     }
 
-    fn execute_commands(&mut self, number: u32, commands: &[Value]) {
+    pub(super) fn execute_commands(&mut self, number: u32, commands: &[Value]) {
         for command in commands {
             let Some(id) = command["egg"].as_str().and_then(|id| id.parse::<TaskId>().ok()) else { continue };
             let key = (id, command["hatch"].as_u64().unwrap_or(0));
