One predicate for tasks that must not run; remove the counter of renewals without stops

Left by earlier work: the counter has said what isn't so since (such an answer is refused and counted as a violated invariant), the rule for tasks of cancelled jobs stood twice, and commands were planned for a heartbeat that is then refused for its stops. Attempt::save_time_before_stop_s is gone: its attempts are always among the required stops.

--- a/src/coordination/request_statistics.rs
+++ b/src/coordination/request_statistics.rs
@@ -28,9 +28,6 @@
     dependent_replies: BTreeMap<DependentReplyKind, u64>,
     /// Number of answers of other controllers to forwarded requests, by what is unexpected about them.
     unexpected_answers: BTreeMap<UnexpectedAnswer, u64>,
-    /// Number of answers that renewed a worker lease although the heartbeat listed tasks of ended jobs that the answer
-    /// did not stop.
-    renewals_without_stops: u64,
     /// Times from sending a call to the state service to its answer or failure, in milliseconds.
     state_latencies: Histogram<u32>,
     /// Longest interval between two ticks.
@@ -57,7 +54,6 @@
             busy_replies: BTreeMap::new(),
             dependent_replies: BTreeMap::new(),
             unexpected_answers: BTreeMap::new(),
-            renewals_without_stops: 0,
             state_latencies,
             longest_tick_interval: Span::ZERO,
             preemption_inspections: 0,
@@ -86,11 +82,6 @@
         *self.unexpected_answers.entry(kind).or_default() += 1;
     }
 
-    /// Counts an answer that renewed a worker lease without stopping all listed tasks of ended jobs.
-    pub fn record_renewal_without_stops(&mut self) {
-        self.renewals_without_stops += 1;
-    }
-
     /// Records the latency of a call to the state service.
     pub fn record_state_latency(&mut self, latency: Span) {
         self.state_latencies.saturating_record(latency.as_millis());
@@ -125,16 +116,15 @@
         if !self.replies.is_empty() {
             log::info!(
                 "replies in the last minute, by status: {}; replies to be retried, by reason: {}; replies about jobs \
-                 with prerequisites: {}; unexpected answers to forwarded requests: {}; worker leases renewed without \
-                 stopping all tasks of ended jobs: {}; latency of the state service: median {} ms, p99 {} ms, \
-                 maximum {} ms of {} calls; longest interval between ticks: {} ms; machines and attempts inspected in \
-                 search of room for waiting tasks: {}; rounds of preemption ended at their limit: {}; most jobs and dependencies \
-                 visited by an update of inherited urgencies: {}; most machines in a plan of the fleet: {}",
+                 with prerequisites: {}; unexpected answers to forwarded requests: {}; latency of the state service: \
+                 median {} ms, p99 {} ms, maximum {} ms of {} calls; longest interval between ticks: {} ms; machines \
+                 and attempts inspected in search of room for waiting tasks: {}; rounds of preemption ended at their \
+                 limit: {}; most jobs and dependencies visited by an update of inherited urgencies: {}; most machines \
+                 in a plan of the fleet: {}",
                 format_counts(&self.replies),
                 format_counts(&self.busy_replies),
                 format_counts(&self.dependent_replies),
                 format_counts(&self.unexpected_answers),
-                self.renewals_without_stops,
                 self.state_latencies.value_at_quantile(0.5),
                 self.state_latencies.value_at_quantile(0.99),
                 self.state_latencies.max(),
--- a/src/coordination/shard/machine.rs
+++ b/src/coordination/shard/machine.rs
@@ -1,17 +1,15 @@
 //! In-memory state of one machine and its attempts on the leader of the machine's shard.
 
 use super::AttemptProgress;
-use super::Job;
 use crate::model::{
-    AgentEpoch, AttemptNumber, FencingToken, FinalState, JobId, Name, Resources, Revision, SequenceNumber, ShardId,
-    TaskId,
+    AgentEpoch, AttemptNumber, FencingToken, JobId, Name, Resources, Revision, SequenceNumber, ShardId, TaskId,
 };
 use crate::protocol::workers::{TaskState, WorkerHeartbeat};
 use crate::storage::records::MachineRecord;
 use crate::time::{Span, Time};
 use crowstall_leadership::LeaderLease;
 use crowstall_reconciliation::answer_loss::{AnswerEvidence, AnswerLossDetector};
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::net::SocketAddrV4;
 
 /// Safety margin that is added to the end of a worker lease before the lease counts as expired.
@@ -146,18 +144,6 @@
         matches!(self.state, Some(TaskState::Exited(_)))
     }
 
-    /// Returns the time in seconds that the attempt has to save its progress before it is stopped. `None` if it is not
-    /// to be stopped.
-    ///
-    /// An attempt of a job whose cancellation was requested is stopped before the cancellation is known to be recorded.
-    /// The answer to the commit may be lost while another controller reads the final record and reports it to users.
-    /// The time within which the tasks must stop runs from that report, even if this controller can't reach the state
-    /// service to learn of the outcome.
-    pub fn save_time_before_stop_s(&self, jobs: &HashMap<JobId, Job>) -> Option<f64> {
-        let cancelled = jobs.get(&self.task.job).is_some_and(|job| job.ending == Some(FinalState::Cancelled));
-        if cancelled { Some(0.0) } else { self.stop_grace_s }
-    }
-
     /// Returns `true` if the job of the attempt, and with it the team, is unknown.
     pub fn is_of_unknown_job(&self) -> bool {
         self.team.as_str().is_empty()
--- a/src/coordination/worker_heartbeats/lease_renewal.rs
+++ b/src/coordination/worker_heartbeats/lease_renewal.rs
@@ -22,6 +22,11 @@
         self.0.contains_key(&attempt)
     }
 
+    /// Returns `true` if one answer can hold all the commands.
+    pub fn fit_into_answer(&self) -> bool {
+        self.0.len() <= workers::MAX_COMMANDS
+    }
+
     /// Returns the commands that stop the attempts at once.
     pub fn commands(&self) -> Vec<Command> {
         let stop = |(number, task): (&AttemptNumber, &TaskId)| Command::Stop {
@@ -48,6 +53,11 @@
 }
 
 /// Returns `true` if tasks of a job must not run on: the job is not live, or its cancellation was requested.
+///
+/// An attempt of a job whose cancellation was requested is stopped before the cancellation is known to be recorded. The
+/// answer to the commit may be lost while another controller reads the final record and reports it to users. The time
+/// within which the tasks must stop runs from that report, even if this controller can't reach the state service to
+/// learn of the outcome.
 fn must_not_run(jobs: &HashMap<JobId, Job>, job: &JobId) -> bool {
     jobs.get(job).is_none_or(|job| job.ending == Some(FinalState::Cancelled))
 }
@@ -82,7 +92,7 @@
     ) {
         let machine = self.shards.get(&shard_id).and_then(|shard| shard.machines.get(&heartbeat.machine));
         let Some(machine) = machine else { return };
-        if required.0.len() > workers::MAX_COMMANDS {
+        if !required.fit_into_answer() {
             self.stop_directly(shard_id, &heartbeat.machine, required.commands());
             return self.reply(requester, Reply::busy(BusyReason::TooManyStops));
         }
@@ -98,7 +108,6 @@
             heartbeat.epoch.0
         );
         self.calls.record_invariant_violation();
-        self.statistics.record_renewal_without_stops();
         self.reply(requester, Reply::busy(BusyReason::TooManyStops));
     }
 }
--- a/src/coordination/worker_heartbeats/serving.rs
+++ b/src/coordination/worker_heartbeats/serving.rs
@@ -60,7 +60,7 @@
         // Stopping tasks whose job has ended is always safe.
         let required = shard.required_stops(&heartbeat);
         let mut commands = required.commands();
-        if validity == TaskListValidity::Current {
+        if validity == TaskListValidity::Current && required.fit_into_answer() {
             self.add_heartbeat_commands(shard_id, &heartbeat.machine, &required, &mut commands);
         }
         self.renew_worker_lease(requester, shard_id, &heartbeat, &required, &commands);
@@ -191,7 +191,7 @@
         });
         return (!result_is_unrecorded).then_some(Command::Forget { task, attempt: number });
     }
-    let grace_s = attempt.save_time_before_stop_s(jobs)?;
+    let grace_s = attempt.stop_grace_s?;
     let is_saving = attempt.state == Some(TaskState::Saving);
     (!(is_saving && grace_s > 0.0)).then_some(Command::Stop { task, attempt: number, grace_s })
 }
--- a/tests/large_jobs.rs
+++ b/tests/large_jobs.rs
@@ -16,9 +16,12 @@
 const MAX_EVENT_BYTES: usize = 4_000_000;
 
 thread_local! {
-    /// Bytes that are allocated by this thread, and their maximum since the last event began.
+    /// Bytes that this thread has allocated and not freed.
     static ALLOCATED: Cell<isize> = const { Cell::new(0) };
+    /// The maximum of these since the last event began.
     static MAXIMUM: Cell<isize> = const { Cell::new(0) };
+    /// The bytes when the last event began.
+    static BEFORE_EVENT: Cell<isize> = const { Cell::new(0) };
 }
 
 /// Counts the bytes that each thread has allocated.
@@ -50,15 +53,11 @@
 
 fn begin_event() {
     MAXIMUM.set(ALLOCATED.get());
-    EVENT_BEGAN_WITH.set(ALLOCATED.get());
-}
-
-thread_local! {
-    static EVENT_BEGAN_WITH: Cell<isize> = const { Cell::new(0) };
+    BEFORE_EVENT.set(ALLOCATED.get());
 }
 
 fn bytes_of_event() -> usize {
-    (MAXIMUM.get() - EVENT_BEGAN_WITH.get()).max(0) as usize
+    (MAXIMUM.get() - BEFORE_EVENT.get()).max(0) as usize
 }
 
 /// Returns a cluster that measures the memory of each event.
