Ignore a runnable job that is marked again with the same urgency

A leader marks each live prerequisite of an added job as runnable again (Shard::add_waiting_job).

The loop over the prerequisites of a withdrawn job no longer copies them.

--- a/crates/dependencies/src/graph.rs
+++ b/crates/dependencies/src/graph.rs
@@ -110,9 +110,13 @@
     }
 
     /// Marks a job as accepted and not waiting for any prerequisite. Such a job stays in the graph only while other
-    /// jobs depend on it; a job that is not in the graph is ignored.
+    /// jobs depend on it; a job that is not in the graph, or was marked with the same urgency before, is ignored.
     pub fn mark_runnable(&mut self, job: &JobId, urgency: Urgency) {
         let Some(index) = self.index_of(job) else { return };
+        let node = &self.graph[index];
+        if node.status == JobStatus::Runnable && node.own_urgency == urgency {
+            return;
+        }
         self.set_status(index, JobStatus::Runnable);
         self.set_own_urgency(index, urgency);
         self.remove_if_unneeded(index);
@@ -301,8 +305,9 @@
             withdrawn.push(self.graph[index].job.clone());
             stack.extend(self.dependents_of(index));
             // The prerequisites no longer inherit urgency from the withdrawn job.
-            let prerequisites: Vec<NodeIndex> = self.prerequisites_of(index).collect();
-            prerequisites.into_iter().for_each(|prerequisite| self.outdated_urgencies.mark(prerequisite));
+            for prerequisite in self.graph.neighbors_directed(index, Incoming) {
+                self.outdated_urgencies.mark(prerequisite);
+            }
         }
         withdrawn
     }
--- a/crates/dependencies/tests/dependency_graph.rs
+++ b/crates/dependencies/tests/dependency_graph.rs
@@ -434,6 +434,13 @@
         let visits = graph.update_urgencies().visits;
         assert!(visits <= 4, "{visits} visits for dependent {number}");
     }
+    // A leader reports each live prerequisite of an added job again.
+    for number in 5_000..6_000 {
+        graph.add_waiting(&id(number), &[id(0)], Urgency::default());
+        graph.mark_runnable(&id(0), LONG_DUE);
+        let visits = graph.update_urgencies().visits;
+        assert!(visits <= 4, "{visits} visits for dependent {number}, whose prerequisite was reported again");
+    }
 }
 
 /// Guards against endless updates on records that depend on one another in a cycle.
